--- a/apps/banyanledged.cpp
+++ b/apps/banyanledged.cpp
@@ -6,7 +6,9 @@
 #include <grpcpp/resource_quota.h>
 
 #include <cstring>
+#include <functional>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,6 +22,10 @@
 #ifdef BANYAN_WITH_ENTRY
 #include "entry/host.h"
 #endif
+#include "gateway/host.h"
+#include "platform/decode.h"
+#include "platform/names.h"
+#include "platform/serve.h"
 
 using namespace banyanledge;
 
@@ -35,7 +41,7 @@
     "  -h, --help            show this help and exit\n"
     "  -V, --version         show the version and exit\n"
     "\n"
-    "SIGTERM and SIGINT start a graceful shutdown.\n"
+    "SIGTERM and SIGINT start a graceful shutdown; SIGHUP reloads the addresses of control hosts.\n"
     "Exit codes: 0 after a graceful shutdown, 1 when the host cannot run, 2 for wrong usage.\n";
 
 enum ExitCode {
@@ -104,10 +110,46 @@
 #ifdef BANYAN_WITH_ENTRY
     std::unique_ptr<EntryHost> entry;
 #endif
+    std::unique_ptr<GatewayHost> gateway;
+    std::unique_ptr<platform::OperatorServer> declarations;
     std::unique_ptr<grpc::Server> server;
     std::unique_ptr<MetricsPage> metrics;
 };
 
+// Regions by availability zone, from ZONE=REGION.
+std::map<std::string, std::string> zoneRegions(const proto::PlatformSettings &settings)
+{
+    std::map<std::string, std::string> regions;
+    for (const std::string &text : settings.zone_regions()) {
+        const auto equals = text.find('=');
+        if (equals != std::string::npos) {
+            regions[text.substr(0, equals)] = text.substr(equals + 1);
+        }
+    }
+    return regions;
+}
+
+std::function<std::optional<PlatformList>(const PlatformPoller::Fetch &)>
+listReader(const proto::PlatformSettings &settings)
+{
+    return [address = settings.list_address(), regions = zoneRegions(settings)](const PlatformPoller::Fetch &fetch) {
+        return platform::readList(address, regions, fetch);
+    };
+}
+
+std::unique_ptr<GatewayHost> createGateway(const proto::Settings &settings)
+{
+    GatewayHost::Options options;
+    options.settings = settings;
+    options.names = platform::wireNames();
+    options.handleReady = platform::serveReady;
+    const milliseconds lifetime(settings.gateway().lookup_lifetime_ms());
+    options.handleLookup = [lifetime](const Gateway &gateway, bool ready, HttpCall &call) {
+        platform::serveLookup(gateway, ready, lifetime, call);
+    };
+    return std::make_unique<GatewayHost>(std::move(options));
+}
+
 bool createRoles(Host &host, const proto::Settings &settings)
 {
     if (settings.control().enabled()) {
@@ -115,6 +157,9 @@
         if (!host.control) {
             return false;
         }
+        if (!settings.platform().list_address().empty()) {
+            host.control->setListReader(listReader(settings.platform()));
+        }
     }
     if (settings.entry().enabled()) {
 #ifdef BANYAN_WITH_ENTRY
@@ -125,6 +170,9 @@
         return false;
 #endif
     }
+    if (settings.gateway().enabled()) {
+        host.gateway = createGateway(settings);
+    }
     return true;
 }
 
@@ -171,6 +219,16 @@
     if (host.control && !host.control->start()) {
         return false;
     }
+    if (host.control && !settings.control().declaration_listen().empty()) {
+        host.declarations =
+            platform::OperatorServer::start(settings.control().declaration_listen(), *host.control->declarations());
+        if (!host.declarations) {
+            return false;
+        }
+    }
+    if (host.gateway && !host.gateway->start()) {
+        return false;
+    }
 #ifdef BANYAN_WITH_ENTRY
     if (host.entry && !host.entry->start()) {
         return false;
@@ -187,6 +245,11 @@
         host.entry->stop();
     }
 #endif
+    if (host.gateway) {
+        host.gateway->stop();
+        host.gateway.reset();
+    }
+    host.declarations.reset();
     if (host.control) {
         host.control->stop();
     }
@@ -197,7 +260,25 @@
     host.metrics.reset();
 }
 
-int run(const proto::Settings &settings)
+// Takes over what may change while the host runs: where the control hosts are.
+void reload(Host &host, const std::string &path)
+{
+    const auto settings = readSettings(path);
+    if (!settings) {
+        logError("the settings were not reloaded and the old ones stay in force", {{"reason", lastError().message}});
+        return;
+    }
+    if (host.gateway) {
+        host.gateway->setControlHosts(
+            withPort(settings->entry().control_hosts(), settings->entry().control_rpc_port()));
+    }
+    if (host.control) {
+        host.control->setSeeds(withPort(settings->control().seeds(), settings->control().seed_rpc_port()));
+    }
+    logInfo("settings reloaded", {{"file", path}});
+}
+
+int run(const proto::Settings &settings, const std::string &path)
 {
     Host host;
     if (!createRoles(host, settings) || !startServer(host, settings) || !startRoles(host, settings)) {
@@ -210,8 +291,11 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     int signal = 0;
-    sigwait(&signals, &signal);
+    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP) {
+        reload(host, path);
+    }
     logInfo("graceful shutdown begins", {{"signal", strsignal(signal)}});
     stopHost(host);
     logInfo("graceful shutdown ended");
@@ -225,6 +309,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     signal(SIGPIPE, SIG_IGN);
 }
@@ -252,5 +337,5 @@
     }
     setInvariantsFatal(settings->host().fatal_invariants());
     blockSignals();
-    return run(*settings);
+    return run(*settings, arguments.config);
 }
--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -230,9 +230,10 @@
 {
     const auto &entry = settings.entry();
     const auto &control = settings.control();
-    if (!entry.enabled() && !control.enabled()) {
+    const auto &gateway = settings.gateway();
+    if (!entry.enabled() && !control.enabled() && !gateway.enabled()) {
         fail(proto::ERROR_INVALID,
-             file + ": no role is enabled; write enabled = true under [entry], [control] or both");
+             file + ": no role is enabled; write enabled = true under [entry], [gateway] or [control]");
         return false;
     }
     if (entry.enabled()
@@ -240,13 +241,22 @@
             || !roleHas(entry.control_hosts_size() > 0, file, "entry", "control_hosts"))) {
         return false;
     }
+    if (gateway.enabled()
+        && (!roleHas(!gateway.listen().empty(), file, "gateway", "listen")
+            || !roleHas(!gateway.ready_listen().empty(), file, "gateway", "ready_listen")
+            || !roleHas(entry.control_hosts_size() > 0, file, "entry", "control_hosts"))) {
+        return false;
+    }
     if (!control.enabled()) {
         return true;
     }
     if (!roleHas(!control.data_folder().empty(), file, "control", "data_folder")
-        || !roleHas(!control.operators_listen().empty(), file, "control", "operators_listen")
-        || !roleHas(!control.operators_file().empty(), file, "control", "operators_file")
-        || !roleHas(control.initial_members_size() > 0, file, "control", "initial_members")) {
+        || !roleHas(!control.operators_listen().empty() || !control.declaration_listen().empty(), file, "control",
+                    "operators_listen")
+        || !roleHas(control.operators_listen().empty() || !control.operators_file().empty(), file, "control",
+                    "operators_file")
+        || !roleHas(control.initial_members_size() > 0 || control.seeds_size() > 0, file, "control",
+                    "initial_members")) {
         return false;
     }
     for (const std::string &member : control.initial_members()) {
@@ -345,4 +355,13 @@
     return out.str();
 }
 
+std::vector<std::string> withPort(const google::protobuf::RepeatedPtrField<std::string> &addresses, std::uint32_t port)
+{
+    std::vector<std::string> result;
+    for (const std::string &address : addresses) {
+        result.push_back(port == 0 ? address : address.substr(0, address.rfind(':') + 1) + std::to_string(port));
+    }
+    return result;
+}
+
 } // namespace banyanledge
--- a/base/settings.h
+++ b/base/settings.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/types.h"
 
@@ -22,4 +23,7 @@
 // Whether the text is IP:PORT with a numeric IPv4 address or an IPv6 address in brackets.
 bool isAddress(const std::string &text);
 
+// Addresses with another port; port 0 leaves them as written.
+std::vector<std::string> withPort(const google::protobuf::RepeatedPtrField<std::string> &addresses, std::uint32_t port);
+
 } // namespace banyanledge
--- a/control/host.cpp
+++ b/control/host.cpp
@@ -5,6 +5,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <filesystem>
 #include <optional>
@@ -12,7 +13,10 @@
 
 #include "base/error.h"
 #include "base/log.h"
+#include "base/settings.h"
 #include "control/api.h"
+#include "control/declarations.h"
+#include "control/join.h"
 #include "control/leader.h"
 #include "control/loops.h"
 #include "control/operators.h"
@@ -30,11 +34,34 @@
 // Time between checks of held calls, silent members and shifts.
 constexpr milliseconds tickInterval{25};
 
+// A voter that is silent for this long may be removed; longer than any restart.
+constexpr milliseconds removeSilentAfter{3000};
+
+// With seeds, the gRPC address is the member's id, because a host knows no more of the others.
+std::string memberId(const proto::Settings &settings)
+{
+    return settings.control().seeds().empty() ? settings.host().id() : settings.host().rpc_listen();
+}
+
+void addSeeds(const proto::ControlSettings &control, Node::Options &options)
+{
+    const auto seeds = withPort(control.seeds(), control.seed_rpc_port());
+    options.join = !control.bootstrap() || std::find(seeds.begin(), seeds.end(), options.rpcAddress) == seeds.end();
+    options.removeSilentAfter = removeSilentAfter;
+    options.smallestQuorum = control.tolerated_losses() + 1;
+    for (const std::string &seed : seeds) {
+        auto *member = options.initialConfig.add_members();
+        member->set_id(seed);
+        member->set_rpc_address(seed);
+        member->set_voter(true);
+    }
+}
+
 Node::Options nodeOptions(const proto::Settings &settings, RaftPeers &peers)
 {
     const auto &control = settings.control();
     Node::Options options;
-    options.id = settings.host().id();
+    options.id = memberId(settings);
     options.rpcAddress = settings.host().rpc_listen();
     options.dataFolder = control.data_folder();
     options.join = control.join();
@@ -42,6 +69,9 @@
     options.electionTimeout = milliseconds(control.election_timeout_ms());
     options.snapshotEntries = control.snapshot_entries();
     options.send = [&peers](const proto::RaftMessage &message) { peers.send(message); };
+    if (!control.seeds().empty()) {
+        addSeeds(control, options);
+    }
     for (const std::string &text : control.initial_members()) {
         const auto equals = text.find('=');
         auto *member = options.initialConfig.add_members();
@@ -85,6 +115,9 @@
     std::unique_ptr<LeaderClient> leader;
     std::unique_ptr<Api> api;
     std::unique_ptr<Operators> operators;
+    std::unique_ptr<Declarations> declarations;
+    std::unique_ptr<GroupJoiner> joiner;
+    std::function<std::optional<PlatformList>(const PlatformPoller::Fetch &)> readList;
     std::thread thread;
     bool stopped = false;
 };
@@ -136,7 +169,7 @@
     sync->tick(now);
     loops->tick(now);
     for (const auto &member : sync->status().config().members()) {
-        if (member.id() != settings.host().id()) {
+        if (member.id() != memberId(settings)) {
             peers.setAddress(member.id(), member.rpc_address());
         }
     }
@@ -145,29 +178,47 @@
 bool ControlHost::Private::start()
 {
     const auto &control = settings.control();
+    leader = std::make_unique<LeaderClient>([this] { return node->status().leader_address(); });
+    declarations = std::make_unique<Declarations>(*leader);
+    if (!control.seeds().empty()) {
+        joiner = std::make_unique<GroupJoiner>(settings.host().rpc_listen(),
+                                               withPort(control.seeds(), control.seed_rpc_port()),
+                                               [this] { return node->status(); });
+    }
+    if (readList || !settings.platform().list_url().empty()) {
+        startPlatform();
+    }
+    if (control.operators_listen().empty()) {
+        return true;
+    }
     if (!readOperators(control.operators_file())) {
         return false;
     }
-    leader = std::make_unique<LeaderClient>([this] { return node->status().leader_address(); });
     Api::Options options;
     options.operatorsFile = control.operators_file();
     options.ownStatus = [this] { return node->status(); };
     api = std::make_unique<Api>(options, *leader);
     operators = Operators::start(control.operators_listen(), *api);
-    if (operators && !settings.platform().list_url().empty()) {
-        startPlatform();
-    }
     return operators != nullptr;
 }
 
-// Every control host polls, so that a new leader has a recent list at once.
+// Only the leader polls, because calls to the platform are counted.
 void ControlHost::Private::startPlatform()
 {
-    const auto received = [this](PlatformList list) {
+    PlatformPoller::Options options;
+    options.interval = milliseconds(settings.platform().poll_ms());
+    options.wanted = [this] { return loops->wantsList(); };
+    options.read = readList;
+    if (!options.read) {
+        options.read = [url = settings.platform().list_url()](const PlatformPoller::Fetch &fetch) {
+            const auto body = fetch(url);
+            return body ? parsePlatformList(*body) : std::nullopt;
+        };
+    }
+    options.received = [this](PlatformList list) {
         asio::post(loop, [this, list = std::move(list)] { loops->platformList(list, Clock::now()); });
     };
-    platform = std::make_unique<PlatformPoller>(settings.platform().list_url(),
-                                                milliseconds(settings.platform().poll_ms()), received);
+    platform = std::make_unique<PlatformPoller>(std::move(options));
 }
 
 void ControlHost::Private::stop()
@@ -177,6 +228,7 @@
     }
     stopped = true;
     platform.reset();
+    joiner.reset();
     operators.reset();
     asio::post(loop, [this] { sync->stop(); });
 }
@@ -221,6 +273,23 @@
     return std::unique_ptr<ControlHost>(new ControlHost(std::move(priv)));
 }
 
+void ControlHost::setListReader(std::function<std::optional<PlatformList>(const PlatformPoller::Fetch &)> read)
+{
+    d->readList = std::move(read);
+}
+
+Declarations *ControlHost::declarations()
+{
+    return d->declarations.get();
+}
+
+void ControlHost::setSeeds(const std::vector<std::string> &addresses)
+{
+    if (d->joiner) {
+        d->joiner->setSeeds(addresses);
+    }
+}
+
 std::vector<grpc::Service *> ControlHost::services()
 {
     return d->services->services();
--- a/control/host.h
+++ b/control/host.h
@@ -7,6 +7,8 @@
 #include <grpcpp/impl/service_type.h>
 
 #include "base/types.h"
+#include "control/declarations.h"
+#include "control/platform.h"
 
 namespace banyanledge
 {
@@ -18,6 +20,15 @@
     static std::unique_ptr<ControlHost> create(const proto::Settings &settings);
     ~ControlHost();
 
+    // Reads the platform's list in another way than from list_url; call before start().
+    void setListReader(std::function<std::optional<PlatformList>(const PlatformPoller::Fetch &)> read);
+
+    // Puts and reads declarations through the leader; null before start().
+    Declarations *declarations();
+
+    // Replaces the seeds after a change of the settings.
+    void setSeeds(const std::vector<std::string> &addresses);
+
     // gRPC services to register before the process's gRPC server starts.
     std::vector<grpc::Service *> services();
 
--- a/control/leader.cpp
+++ b/control/leader.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds retryPause{50};
 
 // Longest single try, so that a silent leader leaves time for its successor.
-constexpr milliseconds longestTry{1000};
+constexpr milliseconds longestTry{400};
 
 const proto::CommandResult &resultOf(const proto::ProposeReply &reply)
 {
@@ -55,6 +55,8 @@
     if (!found) {
         grpc::ChannelArguments arguments;
         arguments.SetMaxReceiveMessageSize(-1);
+        // Channels to one address would share a connection that may have gone silent.
+        arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
         arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 50);
         arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 50);
         arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 200);
@@ -84,6 +86,9 @@
                     return true;
                 }
                 hint = reply.leader_address() == address ? "" : reply.leader_address();
+            } else {
+                const std::lock_guard lock(mutex);
+                stubs.erase(address); // the connection may be silent for good
             }
         }
         std::this_thread::sleep_for(std::min<Duration>(retryPause, std::max(Duration{}, deadline - Clock::now())));
--- a/control/loops.cpp
+++ b/control/loops.cpp
@@ -20,8 +20,14 @@
     propose(platformChanges(list, m_sync.objects(), m_platform, now), m_pendingPlatform);
 }
 
+bool LeaderLoops::wantsList() const
+{
+    return m_leads;
+}
+
 void LeaderLoops::tick(Time now)
 {
+    m_leads = m_sync.leading();
     if (now >= m_nextMetrics) {
         m_nextMetrics = now + metricsInterval;
         publishMetrics(now);
--- a/control/loops.h
+++ b/control/loops.h
@@ -1,6 +1,7 @@
 // What the leader does by itself: follows the platform's list, advances shifts and evacuates failed regions.
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <set>
 #include <string>
@@ -30,6 +31,9 @@
 
     void tick(Time now);
 
+    // Whether this host should poll the platform's list; safe from any thread.
+    bool wantsList() const;
+
 private:
     void propose(const std::vector<proto::Command> &commands, unsigned &pending);
     void publishMetrics(Time now);
@@ -37,6 +41,7 @@
 
     Node &m_node;
     SyncCalls &m_sync;
+    std::atomic<bool> m_leads = false;
     std::uint64_t m_term = 0; // of what is remembered
     PlatformMemory m_platform;
     ShiftMemory m_shifts;
--- a/control/objects.cpp
+++ b/control/objects.cpp
@@ -12,7 +12,8 @@
 {
     return content.customers_size() + content.keys_size() + content.rows_size() + content.servers_size()
         + content.shifts_size() + content.members_size() + content.tombstones_size()
-        > 0;
+            + content.evacuations_size()
+        > 0 || content.has_declaration();
 }
 
 // An object may have been put again after its removal within the same delta.
@@ -47,6 +48,10 @@
     for (const auto &shift : content.shifts()) {
         objects.shifts[shift.id()] = shift;
     }
+    if (content.has_declaration()) {
+        objects.declaration = content.declaration();
+        objects.declaration.clear_original();
+    }
     for (const auto &tombstone : content.tombstones()) {
         if (tombstone.kind() == "server") {
             removeOlder(objects.servers, tombstone);
--- a/control/objects.h
+++ b/control/objects.h
@@ -16,6 +16,7 @@
     std::map<std::string, proto::Member> members;
     std::map<std::string, proto::Server> servers;
     std::map<std::string, proto::Shift> shifts;
+    proto::Declaration declaration; // in force; version 0: none
 };
 
 // Applies a delta, or replaces everything when `snapshot` is set.
--- a/control/peers.cpp
+++ b/control/peers.cpp
@@ -17,7 +17,7 @@
 {
 
 // A call that takes longer is given up, so that a silent member doesn't hold up newer messages.
-constexpr milliseconds deliverTimeout{1000};
+constexpr milliseconds deliverTimeout{600};
 
 // Snapshots are large and may take longer.
 constexpr milliseconds snapshotTimeout{30000};
@@ -46,6 +46,8 @@
     grpc::ChannelArguments arguments;
     arguments.SetMaxSendMessageSize(-1);
     arguments.SetMaxReceiveMessageSize(-1);
+    // Channels to one address would share a connection that may have gone silent.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     // A member that comes back is reached soon, well within an election timeout.
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 50);
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 50);
@@ -115,6 +117,9 @@
         Peer &peer = peers[id];
         peer.calling = false;
         peer.context = nullptr;
+        if (!ok && !stopped) {
+            peer.stub = connect(peer.address); // the connection may be silent for good
+        }
     }
     startCall(id);
     const std::lock_guard lock(mutex);
--- a/control/platform.cpp
+++ b/control/platform.cpp
@@ -85,7 +85,8 @@
     return stored.service() == listed.service() && stored.region() == listed.region()
         && stored.availability_zone() == listed.availability_zone() && stored.address() == listed.address()
         && stored.slots() == listed.slots() && stored.connections() == listed.connections()
-        && stored.leaving() == listed.leaving();
+        && stored.leaving() == listed.leaving() && stored.version() == listed.version()
+        && (stored.warmup_left_ms() > 0) == (listed.warmup_left_ms() > 0);
 }
 
 proto::Command putServer(const proto::Server &server)
@@ -210,9 +211,7 @@
 class PlatformPoller::Private
 {
 public:
-    std::string url;
-    milliseconds interval{};
-    std::function<void(PlatformList)> received;
+    Options options;
     std::mutex mutex;
     std::condition_variable wake;
     bool stopping = false;
@@ -220,10 +219,10 @@
     std::thread thread;
 
     void run();
-    std::optional<PlatformList> poll();
+    std::optional<std::string> fetch(const std::string &url);
 };
 
-std::optional<PlatformList> PlatformPoller::Private::poll()
+std::optional<std::string> PlatformPoller::Private::fetch(const std::string &url)
 {
     std::string body;
     curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
@@ -237,7 +236,7 @@
     if (code != CURLE_OK) {
         return fail(proto::ERROR_IO, std::string("the platform's list cannot be read: ") + curl_easy_strerror(code));
     }
-    return parsePlatformList(body);
+    return body;
 }
 
 void PlatformPoller::Private::run()
@@ -245,28 +244,30 @@
     bool failing = false;
     std::unique_lock lock(mutex);
     while (!stopping) {
-        const Time next = Clock::now() + interval;
+        const Time next = Clock::now() + options.interval;
         lock.unlock();
-        auto list = poll();
-        countMetric("banyanledge_platform_polls_total", {{"result", list ? "ok" : "failed"}});
-        if (!list && !failing) {
-            logWarning(lastError().message, {{"url", url}});
-        }
-        failing = !list;
-        if (list) {
-            received(std::move(*list));
+        if (!options.wanted || options.wanted()) {
+            auto list = options.read([this](const std::string &url) { return fetch(url); });
+            countMetric("banyanledge_platform_polls_total", {{"result", list ? "ok" : "failed"}});
+            if (!list && !failing) {
+                logWarning("the platform's list is lost", {{"reason", lastError().message}});
+            } else if (list && failing) {
+                logInfo("the platform's list is back");
+            }
+            failing = !list;
+            if (list) {
+                options.received(std::move(*list));
+            }
         }
         lock.lock();
         wake.wait_until(lock, next, [this] { return stopping; });
     }
 }
 
-PlatformPoller::PlatformPoller(std::string url, milliseconds interval, std::function<void(PlatformList)> received)
+PlatformPoller::PlatformPoller(Options options)
     : d(std::make_unique<Private>())
 {
-    d->url = std::move(url);
-    d->interval = interval;
-    d->received = std::move(received);
+    d->options = std::move(options);
     d->curl = curl_easy_init();
     d->thread = std::thread([this] { d->run(); });
 }
--- a/control/platform.h
+++ b/control/platform.h
@@ -48,8 +48,18 @@
 class PlatformPoller
 {
 public:
-    // `received` runs on the poller's thread for each usable list.
-    PlatformPoller(std::string url, milliseconds interval, std::function<void(PlatformList)> received);
+    // Reads the body behind a URL; nullopt with lastError().
+    using Fetch = std::function<std::optional<std::string>(const std::string &url)>;
+
+    struct Options
+    {
+        milliseconds interval{};
+        std::function<bool()> wanted; // whether to poll now; empty: always
+        std::function<std::optional<PlatformList>(const Fetch &)> read; // one whole list
+        std::function<void(PlatformList)> received; // runs on the poller's thread for each usable list
+    };
+
+    explicit PlatformPoller(Options options);
     ~PlatformPoller();
 
 private:
--- a/control/service.cpp
+++ b/control/service.cpp
@@ -165,6 +165,12 @@
             }
             return;
         }
+        if (request.declaration()) {
+            m_node.readTable([reply](const Table &table) {
+                *reply->mutable_content()->mutable_declaration() = table.declaration();
+            });
+            return;
+        }
         bool snapshot = false;
         *reply->mutable_content() = m_node.contentSince(0, &snapshot);
     }
--- a/control/sync.cpp
+++ b/control/sync.cpp
@@ -59,6 +59,7 @@
     }
     callArrived(m_liveness, request);
     addLoads(m_loads, request, now);
+    m_shares.reported(request, now);
     m_arrived.push_back(call);
     if (const auto member = memberUpdate(request, m_objects, m_liveness, now);
         member && !m_liveness.hosts[request.self().id()].ending) {
@@ -140,6 +141,7 @@
     }
     if (leads && !leading()) {
         startLeading(m_liveness, now);
+        m_shares.reset(now);
         logInfo("this control host leads", {{"term", std::to_string(m_status.term())}});
     }
     const Revision applied = m_node.applied();
@@ -198,6 +200,9 @@
     bool snapshot = false;
     proto::SyncReply &reply = m_content[since];
     *reply.mutable_content() = m_node.contentSince(since, &snapshot);
+    if (reply.content().has_declaration()) {
+        reply.mutable_content()->mutable_declaration()->clear_original(); // only operators read it back
+    }
     reply.set_snapshot(snapshot);
     return reply;
 }
@@ -217,6 +222,18 @@
     for (const auto &load : busyHosts(m_loads, now)) {
         *reply.add_busy_hosts() = load;
     }
+    std::set<std::string> entryHosts;
+    for (const auto &[id, member] : m_objects.members) {
+        if (member.entry() && (member.state() == proto::MEMBER_LIVE || member.state() == proto::MEMBER_LEAVING)) {
+            entryHosts.insert(id);
+        }
+    }
+    for (const auto &share : m_shares.sharesFor(self.id(), m_objects.declaration, entryHosts, now)) {
+        *reply.add_shares() = share;
+    }
+    for (const auto &member : m_status.config().members()) {
+        reply.add_control_hosts(member.rpc_address());
+    }
     reply.set_leader_address(m_status.leader_address());
     callAnswered(m_liveness, call.request, call.arrived);
     countMetric("banyanledge_sync_answers_total");
--- a/control/sync.h
+++ b/control/sync.h
@@ -12,6 +12,7 @@
 #include "control/loads.h"
 #include "control/members.h"
 #include "control/objects.h"
+#include "decide/shares.h"
 #include "ledger/node.h"
 
 namespace banyanledge
@@ -83,6 +84,7 @@
     Objects m_objects;
     Liveness m_liveness;
     FleetLoads m_loads;
+    RateShares m_shares;
     std::map<Revision, proto::SyncReply> m_content; // replies by known revision, for one table revision
     Revision m_contentRevision = 0;
 };
--- /dev/null
+++ b/decide/hash.h
@@ -0,0 +1,28 @@
+// Stable hashes for spreading objects over servers and hosts; equal on every host.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace banyanledge
+{
+
+// Hash of a text.
+std::uint64_t hashText(std::string_view text);
+
+// Mixes two hashes into one.
+constexpr std::uint64_t mixHashes(std::uint64_t a, std::uint64_t b)
+{
+    std::uint64_t x = a ^ (b + 0x9e3779b97f4a7c15ULL + (a << 6) + (a >> 2));
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
+// Maps a hash to 0 up to, not including, 1.
+constexpr double hashFraction(std::uint64_t hash)
+{
+    return static_cast<double>(hash >> 11) * 0x1.0p-53;
+}
+
+} // namespace banyanledge
--- /dev/null
+++ b/decide/hostlimits.cpp
@@ -0,0 +1,147 @@
+#include "decide/hostlimits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace banyanledge
+{
+
+namespace
+{
+
+// Cells of the retry window.
+constexpr int windowCells = 10;
+
+// Weight of older arrivals in the demand halves about every 0.7 of this time.
+constexpr double demandSeconds = 1.0;
+
+// Part of the retry bound that the hosts use, because the bound counts attempts at arrival and they at departure.
+constexpr double usedPart = 0.8;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+void RetryShare::expire(const RetryBound &bound, Time now)
+{
+    while (!m_cells.empty() && m_cells.front().start + bound.window <= now) {
+        m_cells.pop_front();
+    }
+}
+
+RetryShare::Cell &RetryShare::cell(const RetryBound &bound, Time now)
+{
+    expire(bound, now);
+    if (m_cells.empty() || m_cells.back().start + bound.window / windowCells <= now) {
+        m_cells.push_back({now, 0, 0});
+    }
+    return m_cells.back();
+}
+
+void RetryShare::requested(const RetryBound &bound, Time now)
+{
+    cell(bound, now).requests += 1;
+}
+
+bool RetryShare::allows(const RetryBound &bound, std::size_t hosts, Time now)
+{
+    expire(bound, now);
+    double requests = 0;
+    double retries = 0;
+    for (const Cell &cell : m_cells) {
+        requests += cell.requests;
+        retries += cell.retries;
+    }
+    const double part = bound.ratio * requests + bound.slack / static_cast<double>(std::max<std::size_t>(hosts, 1));
+    return retries + 1 <= usedPart * part;
+}
+
+bool RetryShare::take(const RetryBound &bound, std::size_t hosts, Time now)
+{
+    if (!allows(bound, hosts, now)) {
+        return false;
+    }
+    cell(bound, now).retries += 1;
+    return true;
+}
+
+bool ColdPace::take(double allowed, Time now)
+{
+    while (!m_sent.empty() && m_sent.front() + std::chrono::seconds(1) <= now) {
+        m_sent.pop_front();
+    }
+    if (static_cast<double>(m_sent.size()) + 1 > allowed) {
+        return false;
+    }
+    m_sent.push_back(now);
+    return true;
+}
+
+double coldPart(double rate, std::size_t hosts, std::size_t rank)
+{
+    const double part = std::floor(rate / static_cast<double>(std::max<std::size_t>(hosts, 1)));
+    const auto rest = static_cast<std::size_t>(rate - part * static_cast<double>(hosts));
+    return part + (rank < rest ? 1 : 0);
+}
+
+void RateBucket::refill(Time now)
+{
+    if (m_filled != Time{} && now > m_filled) {
+        m_tokens = std::min(m_burst, m_tokens + rate(now) * seconds(now - m_filled));
+    }
+    m_filled = now;
+}
+
+void RateBucket::setShare(double rate, double burst, Time now)
+{
+    refill(now);
+    if (m_told == Time{}) {
+        m_tokens = burst;
+    }
+    m_rate = rate;
+    m_burst = std::max(burst, 1.0);
+    m_tokens = std::min(m_tokens, m_burst);
+    m_told = now;
+}
+
+double RateBucket::rate(Time now) const
+{
+    return now < m_told + shareTerm ? m_rate : m_rate * lostShare;
+}
+
+bool RateBucket::take(Time now)
+{
+    const double age = seconds(now - m_demandAt);
+    m_demand = (m_demandAt == Time{} ? 0 : m_demand * std::exp(-age / demandSeconds)) + 1 / demandSeconds;
+    m_demandAt = now;
+    refill(now);
+    if (m_tokens < 1) {
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+void RateBucket::giveBack()
+{
+    m_tokens = std::min(m_burst, m_tokens + 1);
+}
+
+double RateBucket::demand(Time now) const
+{
+    return m_demandAt == Time{} ? 0 : m_demand * std::exp(-seconds(now - m_demandAt) / demandSeconds);
+}
+
+Duration RateBucket::wait(Time now) const
+{
+    const double rateNow = rate(now);
+    const double missing = std::max(0.0, 1 - m_tokens);
+    const double longest = 1.0;
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(rateNow > 0 ? std::min(longest, missing / rateNow) : longest));
+}
+
+} // namespace banyanledge
--- /dev/null
+++ b/decide/placement.cpp
@@ -0,0 +1,159 @@
+#include "decide/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include "decide/hash.h"
+
+namespace banyanledge
+{
+
+namespace
+{
+
+// Reports lose their weight within this time.
+constexpr milliseconds reportLifetime{1500};
+
+// Failures in a row after which a server gets only single requests.
+constexpr unsigned ejectAfter = 3;
+
+// First and longest time for which a server is ejected; doubled with each further failure.
+constexpr milliseconds firstEjection{500};
+constexpr milliseconds longestEjection{4000};
+
+// Time without requests after a server said that it is full and gave no load.
+constexpr milliseconds refusalPause{60};
+
+// Servers that are considered for one object, in its order of preference.
+constexpr std::size_t preferred = 3;
+
+// Cost of the next server in the order, in queued requests for each slot: it may not have the object at hand.
+constexpr double nextServerCost = 0.8;
+
+} // namespace
+
+double estimatedLoad(const ServerState &state, Time now)
+{
+    const double own = state.inFlight;
+    const double age = state.reportedAt == Time{} ? 1
+                                                  : std::chrono::duration<double>(now - state.reportedAt)
+            / std::chrono::duration<double>(reportLifetime);
+    if (age >= 1) {
+        return own;
+    }
+    const double since = state.reported + own - state.inFlightAtReport;
+    return std::max(own, own + (since - own) * (1 - age));
+}
+
+void noteReport(ServerState &state, double requests, Time now)
+{
+    state.reported = requests;
+    state.inFlightAtReport = state.inFlight;
+    state.reportedAt = now;
+}
+
+void noteSuccess(ServerState &state, milliseconds warmup, Time now)
+{
+    // A server that failed for long was probably started anew and is cold.
+    if (state.failures > ejectAfter) {
+        state.coldUntil = std::max(state.coldUntil, now + warmup);
+    }
+    state.failures = 0;
+    state.ejectedUntil = {};
+}
+
+void noteFailure(ServerState &state, Time now)
+{
+    ++state.failures;
+    if (state.failures >= ejectAfter) {
+        const auto doubled = firstEjection * (1 << std::min(state.failures - ejectAfter, 4U));
+        state.ejectedUntil = now + std::min<Duration>(doubled, longestEjection);
+    }
+}
+
+void noteRefusal(ServerState &state, Time now)
+{
+    state.refusedUntil = now + refusalPause;
+}
+
+bool healthy(const ServerState &state, Time now)
+{
+    // After the ejection one request at a time finds out whether the server is back.
+    return state.failures < ejectAfter || (now >= state.ejectedUntil && state.probing == 0);
+}
+
+Placement place(const std::vector<Candidate> &candidates, const PlacementRequest &request, Time now)
+{
+    struct Choice
+    {
+        std::uint64_t weight = 0;
+        std::size_t index = 0;
+    };
+    // The best few by rendezvous hash; without affinity the object's hash is random, which spreads the requests.
+    std::array<Choice, preferred + 1> best{};
+    std::size_t found = 0;
+    bool any = false;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const Candidate &candidate = candidates[i];
+        if (request.tried != nullptr && request.tried->contains(*candidate.id)) {
+            continue;
+        }
+        if (!healthy(*candidate.state, now)) {
+            continue;
+        }
+        any = true;
+        const bool cold = now < candidate.state->coldUntil;
+        if (cold && candidate.coldRate < 1) {
+            continue;
+        }
+        const Choice choice{mixHashes(candidate.hash, request.object), i};
+        std::size_t at = found;
+        while (at > 0 && best[at - 1].weight < choice.weight) {
+            --at;
+        }
+        for (std::size_t j = std::min(found, preferred); j > at; --j) {
+            best[j] = best[j - 1];
+        }
+        if (at <= preferred) {
+            best[at] = choice;
+            found = std::min(found + 1, preferred + 1);
+        }
+    }
+    found = std::min(found, preferred);
+    Placement result;
+    result.end = any ? PlacementEnd::Full : PlacementEnd::NoServer;
+    double lowest = 0;
+    for (std::size_t rank = 0; rank < found; ++rank) {
+        const Candidate &candidate = candidates[best[rank].index];
+        const double slots = candidate.slots;
+        const double load = (estimatedLoad(*candidate.state, now) + 1) / slots;
+        const double queue = std::max(0.0, load - 1);
+        if (queue > request.longestQueue || now < candidate.state->refusedUntil) {
+            continue;
+        }
+        const double cost = queue + (request.affinity ? nextServerCost * static_cast<double>(rank) : load);
+        if (result.end == PlacementEnd::Chosen && cost >= lowest) {
+            continue;
+        }
+        // The pace is counted once the request is sent, so a cold server that is not chosen loses nothing.
+        result.end = PlacementEnd::Chosen;
+        result.index = best[rank].index;
+        result.load = load;
+        lowest = cost;
+    }
+    if (result.end == PlacementEnd::Chosen) {
+        const Candidate &chosen = candidates[result.index];
+        if (now < chosen.state->coldUntil && !chosen.state->pace.take(chosen.coldRate, now)) {
+            std::vector<Candidate> others = candidates;
+            others.erase(others.begin() + static_cast<std::ptrdiff_t>(result.index));
+            Placement other = place(others, request, now);
+            other.index += other.end == PlacementEnd::Chosen && other.index >= result.index ? 1 : 0;
+            other.end = other.end == PlacementEnd::NoServer ? PlacementEnd::Full : other.end;
+            return other;
+        }
+    }
+    return result;
+}
+
+} // namespace banyanledge
--- a/decide/view.cpp
+++ b/decide/view.cpp
@@ -73,6 +73,12 @@
     m_servers = merged<proto::Server>(m_servers, content.servers(), byId, content, "server");
     m_shifts = merged<proto::Shift>(m_shifts, content.shifts(), byId, content, "shift");
     m_members = merged<proto::Member>(m_members, content.members(), byId, content, "member");
+    m_evacuations = merged<proto::Evacuation>(
+        m_evacuations, content.evacuations(), [](const auto &object) { return object.availability_zone(); }, content,
+        "evacuation");
+    if (content.has_declaration()) {
+        m_declaration = std::make_shared<const proto::Declaration>(content.declaration());
+    }
     if (m_keys != keys) {
         std::map<std::string, std::string> keyOfDigest;
         for (const auto &[id, key] : *m_keys) {
@@ -200,6 +206,16 @@
     return *m_shifts;
 }
 
+const proto::Declaration &View::declaration() const
+{
+    return *m_declaration;
+}
+
+const std::map<std::string, proto::Evacuation> &View::evacuations() const
+{
+    return *m_evacuations;
+}
+
 const std::map<std::string, proto::Member> &View::members() const
 {
     return *m_members;
--- a/decide/view.h
+++ b/decide/view.h
@@ -64,6 +64,8 @@
     const std::map<std::string, proto::Server> &servers() const;
     const std::map<std::string, proto::Shift> &shifts() const;
     const std::map<std::string, proto::Member> &members() const;
+    const proto::Declaration &declaration() const; // version 0 while none is known
+    const std::map<std::string, proto::Evacuation> &evacuations() const; // by availability zone
 
 private:
     template<typename Object>
@@ -93,6 +95,8 @@
     Shared<proto::Server> m_servers = std::make_shared<const Objects<proto::Server>>();
     Shared<proto::Shift> m_shifts = std::make_shared<const Objects<proto::Shift>>();
     Shared<proto::Member> m_members = std::make_shared<const Objects<proto::Member>>();
+    Shared<proto::Evacuation> m_evacuations = std::make_shared<const Objects<proto::Evacuation>>();
+    std::shared_ptr<const proto::Declaration> m_declaration = std::make_shared<const proto::Declaration>();
     std::shared_ptr<const std::map<std::string, std::string>> m_keyOfDigest =
         std::make_shared<const std::map<std::string, std::string>>(); // digest to key id
     std::shared_ptr<const ServerIndex> m_serverIndex = std::make_shared<const ServerIndex>();
--- a/fleet/follower.cpp
+++ b/fleet/follower.cpp
@@ -41,6 +41,8 @@
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 50);
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 200);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    // Channels to one address would share a connection that may have gone silent.
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     arguments.SetMaxReceiveMessageSize(-1);
     return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
 }
@@ -106,6 +108,7 @@
     std::shared_ptr<SyncCall> startCall();
     void finishCall(SyncCall &call);
     bool apply(const SyncCall &call);
+    void logSync(const SyncCall &failed);
     void follow(const std::string &failed, const std::string &hint);
     std::unique_ptr<proto::Control::Stub> stubFor(const std::string &address);
     void runDue(std::unique_lock<std::mutex> &lock);
@@ -122,6 +125,7 @@
     bool stopping = false;
     proto::MemberState state = proto::MEMBER_LIVE;
     std::string target; // control host that is asked first
+    std::vector<std::string> controlHosts; // from the settings and the leader
     std::shared_ptr<SyncCall> call;
     std::vector<Waiter> waiters;
     std::multimap<Time, std::function<void()>> timers;
@@ -130,6 +134,7 @@
     Time loadsAt{};
     std::map<std::string, double> hostLoads; // of busy hosts
     int proposalsOutstanding = 0;
+    bool lost = false; // the last call failed; used on the follower's thread only
     std::map<std::string, std::shared_ptr<grpc::Channel>> channels;
 
     std::atomic<std::shared_ptr<const View>> view{std::make_shared<const View>()};
@@ -140,9 +145,7 @@
     : d(std::make_unique<Private>(std::move(options)))
 {
     d->state = d->options.self.state() == proto::MEMBER_JOINING ? proto::MEMBER_LIVE : d->options.self.state();
-    if (!d->options.controlHosts.empty()) {
-        d->target = d->options.controlHosts.front();
-    }
+    setControlHosts(d->options.controlHosts);
 }
 
 Follower::~Follower()
@@ -175,6 +178,15 @@
     return d->view.load();
 }
 
+void Follower::setControlHosts(const std::vector<std::string> &addresses)
+{
+    const std::lock_guard lock(d->mutex);
+    d->controlHosts = addresses;
+    if (d->target.empty() && !addresses.empty()) {
+        d->target = addresses.front();
+    }
+}
+
 bool Follower::fresh(Time now) const
 {
     return d->isFresh(now);
@@ -379,6 +391,12 @@
         countMetric("banyanledge_sync_failures_total");
         const bool ours = finished.status.error_code() == grpc::StatusCode::CANCELLED;
         if (!ours) {
+            logSync(finished);
+            if (!finished.status.ok()) {
+                // The connection may be silent for good; the next call opens another one.
+                const std::lock_guard lock(mutex);
+                channels.erase(finished.address);
+            }
             follow(finished.address, finished.reply.leader_address());
         }
         return;
@@ -388,6 +406,20 @@
         return;
     }
     freshUntil = std::max(freshUntil.load(), finished.sent + freshnessTerm);
+    if (std::exchange(lost, false)) {
+        logInfo("control leader follows again", {{"address", finished.address}});
+    }
+}
+
+// One line for each lost leader, not for each failed call.
+void Follower::Private::logSync(const SyncCall &failed)
+{
+    if (!std::exchange(lost, true)) {
+        logWarning("control leader lost",
+                   {{"address", failed.address},
+                    {"reason", failed.status.ok() ? failed.reply.message() : failed.status.error_message()},
+                    {"revision", std::to_string(view.load()->revision())}});
+    }
 }
 
 // Takes over content and loads; false when the leader's table is older than this copy.
@@ -405,11 +437,19 @@
         }
         view = next;
     }
+    if (options.takeShares) {
+        options.takeShares({reply.shares().begin(), reply.shares().end()});
+    }
     std::vector<std::function<void(const std::shared_ptr<const View> &)>> toCall;
     {
         const std::lock_guard lock(mutex);
         loads.assign(reply.pools().begin(), reply.pools().end());
         loadsAt = Clock::now();
+        for (const std::string &address : reply.control_hosts()) {
+            if (std::find(controlHosts.begin(), controlHosts.end(), address) == controlHosts.end()) {
+                controlHosts.push_back(address);
+            }
+        }
         hostLoads.clear();
         for (const auto &host : reply.busy_hosts()) {
             hostLoads[host.id()] = host.load();
@@ -435,7 +475,10 @@
         target = hint;
         return;
     }
-    const auto &hosts = options.controlHosts;
+    const auto &hosts = controlHosts;
+    if (hosts.empty()) {
+        return;
+    }
     const auto found = std::find(hosts.begin(), hosts.end(), failed);
     target = found == hosts.end() || found + 1 == hosts.end() ? hosts.front() : *(found + 1);
 }
--- a/fleet/follower.h
+++ b/fleet/follower.h
@@ -23,6 +23,8 @@
         proto::Member self; // with this run's incarnation
         std::vector<std::string> controlHosts; // gRPC addresses
         std::function<void(proto::SyncRequest &)> addReport; // adds the loads of owned pools and links
+        // Takes this host's shares of customers' rates, before a new copy of the table; may be empty.
+        std::function<void(const std::vector<proto::RateShare> &)> takeShares;
     };
 
     explicit Follower(Options options);
@@ -35,6 +37,9 @@
     // Newest copy; never null, empty before the first answer.
     std::shared_ptr<const View> view() const;
 
+    // Replaces the control hosts that are asked when no known one answers, e.g. after a change of the settings.
+    void setControlHosts(const std::vector<std::string> &addresses);
+
     // Whether this host may serve at `now`: it has a proof from a quorum that its copy is not older than freshnessTerm.
     bool fresh(Time now) const;
 
--- /dev/null
+++ b/gateway/gateway.cpp
@@ -0,0 +1,106 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "gateway/forward.h"
+
+namespace banyanledge
+{
+
+namespace
+{
+
+// Most hosts that a look-up names.
+constexpr std::size_t mostHosts = 64;
+
+} // namespace
+
+class Gateway::Private : public GatewayState
+{
+public:
+    using GatewayState::GatewayState;
+};
+
+Gateway::Gateway(asio::io_context &loop, Options options)
+    : d(std::make_shared<Private>(loop, std::move(options)))
+{
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::setView(std::shared_ptr<const View> view)
+{
+    d->setView(view, Clock::now());
+}
+
+void Gateway::setShares(const std::vector<proto::RateShare> &shares)
+{
+    const Time now = Clock::now();
+    for (const auto &share : shares) {
+        d->buckets[share.customer()].setShare(share.rate(), share.burst(), now);
+    }
+}
+
+void Gateway::report(proto::SyncRequest &request) const
+{
+    const Time now = Clock::now();
+    for (const auto &[customer, bucket] : d->buckets) {
+        auto *use = request.add_rates();
+        use->set_customer(customer);
+        use->set_demand(bucket.demand(now));
+        use->set_held(bucket.rate(now));
+    }
+}
+
+void Gateway::handle(std::shared_ptr<HttpCall> call)
+{
+    std::make_shared<ForwardedRequest>(*d, std::move(call))->start();
+}
+
+bool Gateway::ready() const
+{
+    return d->routing->version() > 0 && !d->routing->servers().empty();
+}
+
+HttpLimits Gateway::limits() const
+{
+    HttpLimits limits;
+    const auto &declaration = d->routing->view().declaration();
+    if (declaration.has_limits()) {
+        const auto &declared = declaration.limits();
+        limits.headerBytes = declared.max_header_bytes() > 0 ? declared.max_header_bytes() : limits.headerBytes;
+        limits.bodyBytes = declared.max_body_bytes() > 0 ? declared.max_body_bytes() : limits.bodyBytes;
+        if (declared.header_timeout_ms() > 0) {
+            limits.headerTimeout = milliseconds(declared.header_timeout_ms());
+        }
+        if (declared.idle_timeout_ms() > 0) {
+            limits.idleTimeout = milliseconds(declared.idle_timeout_ms());
+        }
+    }
+    return limits;
+}
+
+std::vector<std::string> Gateway::hostsFor(const std::string &region, const std::string &zone) const
+{
+    std::vector<std::string> near;
+    std::vector<std::string> all;
+    for (const auto *host : d->routing->hosts()) {
+        all.push_back(host->http_address());
+        const bool inRegion = region.empty() ? host->availability_zone() == zone : host->region() == region;
+        if (inRegion) {
+            near.push_back(host->http_address());
+        }
+    }
+    std::vector<std::string> &named = near.empty() ? all : near;
+    std::shuffle(named.begin(), named.end(), d->random);
+    named.resize(std::min(named.size(), mostHosts));
+    return named;
+}
+
+std::size_t Gateway::inFlight() const
+{
+    return d->inFlight;
+}
+
+} // namespace banyanledge
--- /dev/null
+++ b/gateway/host.cpp
@@ -0,0 +1,229 @@
+#include "gateway/host.h"
+
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "base/settings.h"
+#include "fleet/follower.h"
+
+namespace banyanledge
+{
+
+namespace
+{
+
+// Time between copies of demand and shares for the next Sync call.
+constexpr milliseconds reportInterval{100};
+
+// Time between looks at the requests in flight during a graceful shutdown.
+constexpr milliseconds drainInterval{20};
+
+// Time after the start of a shutdown during which new connections are still served, because look-ups that name this
+// host are in use.
+constexpr milliseconds lookupsInUse{2500};
+
+// Idle connections are closed this long before the end of the shutdown.
+constexpr milliseconds idleCloseBefore{1000};
+
+proto::Member memberOf(const proto::Settings &settings)
+{
+    proto::Member self;
+    self.set_id(settings.host().id());
+    self.set_incarnation(randomId());
+    self.set_entry(true);
+    self.set_region(settings.host().region());
+    self.set_availability_zone(settings.host().availability_zone());
+    self.set_http_address(settings.gateway().listen());
+    self.set_rpc_address(settings.host().rpc_listen());
+    self.set_state(proto::MEMBER_LIVE);
+    return self;
+}
+
+} // namespace
+
+class GatewayHost::Private
+{
+public:
+    explicit Private(Options given)
+        : options(std::move(given))
+        , gateway(loop, {options.settings.host(), options.settings.gateway(), options.names})
+        , follower({memberOf(options.settings),
+                    withPort(options.settings.entry().control_hosts(),
+                                  options.settings.entry().control_rpc_port()),
+                    [this](proto::SyncRequest &request) { addReport(request); },
+                    [this](const std::vector<proto::RateShare> &shares) {
+                        asio::post(loop, [this, shares] { gateway.setShares(shares); });
+                    }})
+    {
+    }
+
+    bool listen();
+    void addReport(proto::SyncRequest &request);
+    void copyReport();
+    bool ready() const;
+
+    template<typename Function>
+    auto onLoop(Function function)
+    {
+        std::packaged_task<decltype(function())()> task(std::move(function));
+        auto result = task.get_future();
+        asio::post(loop, [&task] { task(); });
+        return result.get();
+    }
+
+    const Options options;
+    asio::io_context loop{1};
+    asio::executor_work_guard<asio::io_context::executor_type> work{loop.get_executor()};
+    asio::steady_timer timer{loop};
+    Gateway gateway;
+    Follower follower;
+    std::unique_ptr<HttpServer> front;
+    std::unique_ptr<HttpServer> readiness;
+    std::unique_ptr<HttpServer> directory;
+    std::mutex reportMutex;
+    proto::SyncRequest lastReport; // guarded by reportMutex
+    bool leaving = false; // used on the loop only
+    bool wasReady = false;
+    std::thread thread;
+};
+
+bool GatewayHost::Private::ready() const
+{
+    return gateway.ready() && !leaving;
+}
+
+void GatewayHost::Private::addReport(proto::SyncRequest &request)
+{
+    const std::lock_guard lock(reportMutex);
+    *request.mutable_rates() = lastReport.rates();
+    request.set_host_load(lastReport.host_load());
+}
+
+void GatewayHost::Private::copyReport()
+{
+    proto::SyncRequest report;
+    gateway.report(report);
+    report.set_host_load(static_cast<double>(gateway.inFlight()) / options.settings.gateway().largest_in_flight());
+    setMetric("banyanledge_requests_in_flight", {}, static_cast<double>(gateway.inFlight()));
+    setMetric("banyanledge_gateway_callers", {}, static_cast<double>(front->connections()));
+    if (ready() != std::exchange(wasReady, ready())) {
+        logInfo(wasReady ? "ready for callers" : "not ready for callers",
+                {{"revision", std::to_string(follower.view()->revision())}, {"leaving", leaving ? "yes" : "no"}});
+    }
+    {
+        const std::lock_guard lock(reportMutex);
+        lastReport = std::move(report);
+    }
+    timer.expires_after(reportInterval);
+    timer.async_wait([this](const asio::error_code &error) {
+        if (!error) {
+            copyReport();
+        }
+    });
+}
+
+bool GatewayHost::Private::listen()
+{
+    const auto &settings = options.settings.gateway();
+    HttpServer::Options frontOptions;
+    frontOptions.address = settings.listen();
+    frontOptions.limits = [this] { return gateway.limits(); };
+    frontOptions.handle = [this](std::shared_ptr<HttpCall> call) { gateway.handle(std::move(call)); };
+    frontOptions.rejected = [](int status) {
+        countMetric("banyanledge_gateway_rejected_total", {{"status", std::to_string(status)}});
+        logInfo("request rejected before routing", {{"status", std::to_string(status)}});
+    };
+    front = HttpServer::start(loop, frontOptions);
+    const auto sideServer = [this](const std::string &address, const Handler &handler) {
+        HttpServer::Options sideOptions;
+        sideOptions.address = address;
+        sideOptions.limits = [] { return HttpLimits(); };
+        sideOptions.handle = [this, handler](const std::shared_ptr<HttpCall> &call) {
+            handler(gateway, ready(), *call);
+        };
+        return HttpServer::start(loop, sideOptions);
+    };
+    if (front) {
+        readiness = sideServer(settings.ready_listen(), options.handleReady);
+    }
+    if (readiness && !settings.directory_listen().empty()) {
+        directory = sideServer(settings.directory_listen(), options.handleLookup);
+        return directory != nullptr;
+    }
+    return readiness != nullptr;
+}
+
+GatewayHost::GatewayHost(Options options)
+    : d(std::make_unique<Private>(std::move(options)))
+{
+}
+
+GatewayHost::~GatewayHost()
+{
+    d->follower.stop();
+    d->work.reset();
+    d->loop.stop();
+    if (d->thread.joinable()) {
+        d->thread.join();
+    }
+    d->front.reset();
+    d->readiness.reset();
+    d->directory.reset();
+}
+
+bool GatewayHost::start()
+{
+    if (!d->listen()) {
+        return false;
+    }
+    d->copyReport();
+    d->follower.onChange([priv = d.get()](const std::shared_ptr<const View> &view) {
+        asio::post(priv->loop, [priv, view] { priv->gateway.setView(view); });
+    });
+    d->thread = std::thread([priv = d.get()] { priv->loop.run(); });
+    d->follower.start();
+    logInfo("gateway started", {{"address", d->options.settings.gateway().listen()}});
+    return true;
+}
+
+void GatewayHost::stop()
+{
+    const Time begun = Clock::now();
+    const Time until = begun + milliseconds(d->options.settings.gateway().stop_timeout_ms());
+    d->onLoop([priv = d.get()] {
+        priv->leaving = true;
+        priv->front->closeAfterAnswers();
+    });
+    d->follower.setState(proto::MEMBER_LEAVING);
+    // Connections count too: an answer may be finished and not written yet.
+    const auto busy = [priv = d.get()] {
+        return priv->onLoop([priv] { return priv->gateway.inFlight() + priv->front->connections(); });
+    };
+    while (Clock::now() < std::min(begun + lookupsInUse, until - idleCloseBefore)) {
+        std::this_thread::sleep_for(drainInterval);
+    }
+    d->onLoop([priv = d.get()] {
+        priv->front->stopAccepting();
+        priv->front->closeIdle();
+    });
+    std::size_t left = busy();
+    while (left > 0 && Clock::now() < until) {
+        std::this_thread::sleep_for(drainInterval);
+        d->onLoop([priv = d.get()] { priv->front->closeIdle(); });
+        left = busy();
+    }
+    logInfo("gateway stopped", {{"left", std::to_string(left)}});
+}
+
+void GatewayHost::setControlHosts(const std::vector<std::string> &addresses)
+{
+    d->follower.setControlHosts(addresses);
+}
+
+} // namespace banyanledge
--- /dev/null
+++ b/gateway/state.cpp
@@ -0,0 +1,256 @@
+#include "gateway/state.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "decide/hash.h"
+
+namespace banyanledge
+{
+
+namespace
+{
+
+// Added to the rest of a server's cold time, because the list lags.
+constexpr milliseconds coldMargin{500};
+
+// Part of the bound of a cold server that the hosts use together, because it counts arrivals and they departures.
+constexpr double coldUse = 0.8;
+
+// Time between updates of the part that leaves a region.
+constexpr milliseconds spillInterval{250};
+
+// Part of the largest shift between regions that slow changes and overflow may use.
+constexpr double spillUse = 0.5;
+constexpr double overflowUse = 0.25;
+
+// Overflow that is saved for a moment of many requests.
+constexpr double overflowBurst = 4;
+
+// Window of the bound on shifts between regions.
+constexpr double shiftWindowSeconds = 2;
+
+} // namespace
+
+GatewayState::GatewayState(asio::io_context &given, Gateway::Options given_options)
+    : loop(given)
+    , options(std::move(given_options))
+    , upstream(given, {options.names.requestId})
+    , random(randomId())
+{
+}
+
+RetryBound GatewayState::retryBound() const
+{
+    return {options.settings.retry_ratio(), milliseconds(options.settings.retry_window_ms()),
+            options.settings.retry_slack()};
+}
+
+void GatewayState::setView(const std::shared_ptr<const View> &view, Time now)
+{
+    const auto previous = routing;
+    routing = Routing::build(view);
+    if (routing->version() != previous->version()) {
+        logInfo("declaration in force", {{"version", std::to_string(routing->version())},
+                                         {"previous", std::to_string(previous->version())},
+                                         {"revision", std::to_string(view->revision())}});
+    }
+    noteServers(now);
+}
+
+void GatewayState::noteServers(Time now)
+{
+    std::set<std::string> present;
+    for (const RoutedServer &server : routing->servers()) {
+        present.insert(server.id);
+        ServerState &state = servers[server.id];
+        const auto [stamp, added] = m_stamps.try_emplace(server.id, std::string());
+        if (stamp->second == server.stamp) {
+            continue;
+        }
+        if (server.warmupLeft > milliseconds(0)) {
+            state.coldUntil = std::max(state.coldUntil, now + server.warmupLeft + coldMargin);
+        } else if (!added && stamp->second.empty()) {
+            // It comes back after a drain or an evacuation, and may have become cold meanwhile.
+            const auto *service = routing->service(server.service);
+            const auto warmup = service != nullptr && service->declared != nullptr ? service->declared->warmup_ms() : 0;
+            state.coldUntil = now + milliseconds(warmup);
+        }
+        stamp->second = server.stamp;
+        logInfo("backend server in use", {{"server", server.id},
+                                          {"service", server.service},
+                                          {"zone", server.zone},
+                                          {"revision", std::to_string(routing->view().revision())}});
+    }
+    for (auto &[id, stamp] : m_stamps) {
+        if (!stamp.empty() && !present.contains(id)) {
+            stamp.clear();
+            upstream.forget(id);
+            logInfo("backend server out of use",
+                    {{"server", id}, {"revision", std::to_string(routing->view().revision())}});
+        }
+    }
+    // Servers that the table no longer holds are forgotten once none of their requests runs.
+    std::erase_if(servers, [this](const auto &entry) {
+        const bool gone = !routing->view().servers().contains(entry.first) && entry.second.inFlight == 0;
+        if (gone) {
+            m_stamps.erase(entry.first);
+        }
+        return gone;
+    });
+}
+
+std::string GatewayState::nextService(const proto::DeclaredRoute &route)
+{
+    if (route.split_size() == 1) {
+        return route.split(0).weight() > 0 ? route.split(0).service() : std::string();
+    }
+    double total = 0;
+    for (const auto &part : route.split()) {
+        total += part.weight();
+    }
+    if (total <= 0) {
+        return {};
+    }
+    // Smooth weighted round robin: each part earns its weight, the richest one pays the total.
+    SplitCount &count = splits[route.name()];
+    const proto::WeightedService *best = nullptr;
+    for (const auto &part : route.split()) {
+        double &credit = count.credit[part.service()];
+        credit += part.weight();
+        if (part.weight() > 0 && (best == nullptr || credit > count.credit[best->service()])) {
+            best = &part;
+        }
+    }
+    count.credit[best->service()] -= total;
+    return best->service();
+}
+
+// This host's part of the requests that a cold server bears.
+double GatewayState::coldRate(const RoutedService &service, const RoutedServer &server) const
+{
+    const auto &settings = options.settings;
+    const double bound =
+        service.declared->warmup_per_second() * settings.warmup_overshoot() + settings.warmup_slack();
+    const std::uint64_t own = mixHashes(server.hash, hashText(options.host.id()));
+    std::size_t rank = 0;
+    bool listed = false;
+    for (const auto *host : routing->hosts()) {
+        listed = listed || host->id() == options.host.id();
+        rank += mixHashes(server.hash, hashText(host->id())) > own ? 1 : 0;
+    }
+    return listed ? coldPart(bound * coldUse, routing->hosts().size(), rank) : 0;
+}
+
+std::vector<Candidate> GatewayState::candidates(const RoutedService &service, const std::string &region, Time now)
+{
+    std::vector<Candidate> result;
+    const auto found = service.regions.find(region);
+    if (found == service.regions.end()) {
+        return result;
+    }
+    result.reserve(found->second.size());
+    for (const RoutedServer *server : found->second) {
+        ServerState &state = servers[server->id];
+        const double cold = now < state.coldUntil ? coldRate(service, *server) : 0;
+        result.push_back({&server->id, server->hash, server->slots, cold, &state});
+    }
+    return result;
+}
+
+double GatewayState::regionLoad(const RoutedService &service, bool home, Time now)
+{
+    double load = 0;
+    double slots = 0;
+    for (const auto &[region, list] : service.regions) {
+        if ((region == options.host.region()) != home) {
+            continue;
+        }
+        for (const RoutedServer *server : list) {
+            const ServerState &state = servers[server->id];
+            if (healthy(state, now)) {
+                load += estimatedLoad(state, now);
+                slots += server->slots;
+            }
+        }
+    }
+    return slots > 0 ? load / slots : 0;
+}
+
+void GatewayState::updateSpillOf(const RoutedService &service, ServiceState &state, Time now)
+{
+    if (state.spill.started && now < state.spill.updated + spillInterval) {
+        return;
+    }
+    SpillInput input;
+    const auto home = service.slots.find(options.host.region());
+    input.homeSlots = home == service.slots.end() ? 0 : home->second;
+    input.allSlots = service.allSlots;
+    input.regions = std::max(service.regions.size(), routing->regionCount());
+    input.homeLoad = regionLoad(service, true, now);
+    input.otherLoad = regionLoad(service, false, now);
+    input.fastest = options.settings.largest_shift() * spillUse / shiftWindowSeconds;
+    updateSpill(state.spill, input, now);
+    setMetric("banyanledge_gateway_spill", {{"service", service.declared->name()}}, state.spill.part);
+}
+
+PlacementEnd GatewayState::find(const Search &search, Time now, Target &target)
+{
+    const RoutedService &service = *search.service;
+    updateSpillOf(service, *search.state, now);
+    const std::string &home = options.host.region();
+    const auto allowed = [&search](const std::string &region) {
+        return search.regions == nullptr || search.regions->contains(region);
+    };
+    // Other regions in an order of this object's own, so that it meets the same servers there; by slots.
+    struct Region
+    {
+        double weight = 0;
+        const std::string *name = nullptr;
+    };
+    std::vector<Region> others;
+    for (const auto &[region, list] : service.regions) {
+        if (region != home && allowed(region)) {
+            const double draw = hashFraction(mixHashes(search.request.object, hashText(region)));
+            others.push_back({draw * service.slots.at(region), &region});
+        }
+    }
+    std::sort(others.begin(), others.end(), [](const Region &a, const Region &b) { return a.weight > b.weight; });
+    const bool homeServes = service.regions.contains(home) && allowed(home);
+    const double draw = hashFraction(mixHashes(search.request.object, hashText("spill")));
+    const bool leaves = !homeServes || (draw < search.state->spill.part && !others.empty());
+    std::vector<const std::string *> order;
+    if (homeServes && !leaves) {
+        order.push_back(&home);
+    }
+    for (const Region &region : others) {
+        order.push_back(region.name);
+    }
+    if (homeServes && leaves) {
+        order.push_back(&home);
+    }
+    search.state->overflow = std::min(
+        overflowBurst, search.state->overflow + options.settings.largest_shift() * overflowUse);
+    PlacementEnd end = PlacementEnd::NoServer;
+    for (const std::string *region : order) {
+        // A request leaves the region chosen for it freely when no server there works, else within the allowance.
+        if (end == PlacementEnd::Full && region != order.front() && search.state->overflow < 1) {
+            break;
+        }
+        const auto list = candidates(service, *region, now);
+        const Placement placement = place(list, search.request, now);
+        if (placement.end == PlacementEnd::Chosen) {
+            if (end == PlacementEnd::Full) {
+                search.state->overflow -= 1;
+            }
+            target.server = service.regions.at(*region)[placement.index];
+            target.state = list[placement.index].state;
+            return PlacementEnd::Chosen;
+        }
+        end = placement.end == PlacementEnd::Full ? PlacementEnd::Full : end;
+    }
+    return end;
+}
+
+} // namespace banyanledge
--- /dev/null
+++ b/gateway/state.h
@@ -0,0 +1,86 @@
+// What the gateway of one host knows and counts, shared by its requests. Used on the loop's thread only.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "decide/hostlimits.h"
+#include "decide/placement.h"
+#include "decide/spill.h"
+#include "gateway/gateway.h"
+#include "gateway/routing.h"
+#include "gateway/upstream.h"
+
+namespace banyanledge
+{
+
+// Counts of one split, so that each part gets its weight of the requests.
+struct SplitCount
+{
+    std::map<std::string, double> credit; // by service
+};
+
+// Per service: retries and the requests that other regions run.
+struct ServiceState
+{
+    RetryShare retries;
+    Spill spill;
+    double overflow = 0; // requests that may leave a full region at once
+};
+
+// Where a request may run.
+struct Target
+{
+    const RoutedServer *server = nullptr;
+    ServerState *state = nullptr;
+};
+
+class GatewayState
+{
+public:
+    GatewayState(asio::io_context &given, Gateway::Options options);
+
+    void setView(const std::shared_ptr<const View> &view, Time now);
+
+    // Service of the next request on a route, by weight; empty when all weights are 0.
+    std::string nextService(const proto::DeclaredRoute &route);
+
+    RetryBound retryBound() const;
+
+    struct Search
+    {
+        const RoutedService *service = nullptr;
+        ServiceState *state = nullptr;
+        const std::set<std::string> *regions = nullptr; // allowed; nullptr: all
+        PlacementRequest request;
+    };
+
+    // Server for a request; the end tells why there is none.
+    PlacementEnd find(const Search &search, Time now, Target &target);
+
+    asio::io_context &loop;
+    const Gateway::Options options;
+    Upstream upstream;
+    std::shared_ptr<const Routing> routing = Routing::build(std::make_shared<const View>());
+    std::map<std::string, ServerState> servers;
+    std::map<std::string, ServiceState> services;
+    std::map<std::string, RateBucket> buckets; // by customer
+    std::map<std::string, SplitCount> splits; // by route
+    std::mt19937_64 random;
+    std::size_t inFlight = 0;
+
+private:
+    void noteServers(Time now);
+    std::vector<Candidate> candidates(const RoutedService &service, const std::string &region, Time now);
+    double coldRate(const RoutedService &service, const RoutedServer &server) const;
+    void updateSpillOf(const RoutedService &service, ServiceState &state, Time now);
+    double regionLoad(const RoutedService &service, bool home, Time now);
+
+    std::map<std::string, std::string> m_stamps; // of servers, as last seen
+};
+
+} // namespace banyanledge
--- a/ledger/check.cpp
+++ b/ledger/check.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <utility>
 
 #include "base/settings.h"
 
@@ -145,6 +147,14 @@
                    address("http_address", member.http_address()), address("rpc_address", member.rpc_address()));
 }
 
+Problem check(const proto::PutDeclaration &change)
+{
+    if (change.declaration().version() == 0) {
+        return invalid("version of the declaration is 0; write a version of at least 1");
+    }
+    return checkDeclaration(change.declaration());
+}
+
 // Request ids come from callers, so they may hold any printable character.
 template<typename Change>
 Problem checkClaim(const Change &change)
@@ -169,6 +179,48 @@
     return !text.empty() && text.size() <= longestName && std::all_of(text.begin(), text.end(), allowed);
 }
 
+std::optional<Error> checkDeclaration(const proto::Declaration &declaration)
+{
+    std::set<std::string> services;
+    for (const auto &service : declaration.services()) {
+        if (service.name().empty()) {
+            return invalid("a service has no name; write one");
+        }
+        services.insert(service.name());
+    }
+    std::set<std::pair<std::string, std::string>> places;
+    for (const auto &route : declaration.routes()) {
+        const auto wrong = [&route](const std::string &message) { return invalid("route " + route.name() + ": " + message); };
+        if (route.host().empty()) {
+            return wrong("host is empty; write the host name that callers use");
+        }
+        if (!route.path_prefix().starts_with('/') || !route.path_prefix().ends_with('/')) {
+            return wrong("path prefix must begin and end with a slash");
+        }
+        if (!places.emplace(route.host(), route.path_prefix()).second) {
+            return wrong("another route has the same host and path prefix; remove one of them");
+        }
+        if (route.max_attempts() == 0) {
+            return wrong("max attempts is 0; write at least 1");
+        }
+        if (milliseconds(route.timeout_ms()) > longestDeadline) {
+            return wrong("timeout must be at most 600000 ms");
+        }
+        if (route.split().empty()) {
+            return wrong("no service is named; write one or a split");
+        }
+        for (const auto &part : route.split()) {
+            if (!services.contains(part.service())) {
+                return wrong("service " + part.service() + " is not declared; declare it or name another");
+            }
+            if (!std::isfinite(part.weight()) || part.weight() < 0) {
+                return wrong("the weight of service " + part.service() + " must be at least 0");
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<Error> checkCommand(const proto::Command &command)
 {
     switch (command.change_case()) {
@@ -200,6 +252,10 @@
         return check(command.advance_shift());
     case proto::Command::kPutMember:
         return check(command.put_member());
+    case proto::Command::kPutDeclaration:
+        return check(command.put_declaration());
+    case proto::Command::kSetEvacuation:
+        return checkName("availability zone", command.set_evacuation().availability_zone());
     case proto::Command::kClaim:
         return checkClaim(command.claim());
     case proto::Command::kCompleteClaim:
--- a/ledger/check.h
+++ b/ledger/check.h
@@ -18,6 +18,9 @@
 // Whether the text is a name: 1 to longestName letters, digits, ".", "_" or "-".
 bool isName(const std::string &text);
 
+// Reason why a declaration can't be put in force, with the remedy; nullopt when it is well-formed.
+std::optional<Error> checkDeclaration(const proto::Declaration &declaration);
+
 // Reason why a command cannot be applied to any table, with the remedy; nullopt when it is well-formed.
 std::optional<Error> checkCommand(const proto::Command &command);
 
--- a/ledger/node.h
+++ b/ledger/node.h
@@ -27,6 +27,8 @@
         milliseconds heartbeat{50};
         milliseconds electionTimeout{300}; // smallest; the largest is twice that
         std::uint64_t snapshotEntries = 10000;
+        Duration removeSilentAfter{}; // see RaftOptions
+        std::size_t smallestQuorum = 1;
         std::function<void(const proto::RaftMessage &)> send; // must not block
     };
 
--- a/ledger/nodeloop.cpp
+++ b/ledger/nodeloop.cpp
@@ -57,7 +57,8 @@
                        const std::optional<proto::TableImage> &image)
     : options(std::move(given))
     , store(std::move(opened))
-    , raft({options.id, state.hard.identity(), options.heartbeat, options.electionTimeout, randomId()}, state,
+    , raft({options.id, state.hard.identity(), options.heartbeat, options.electionTimeout, randomId(),
+            options.removeSilentAfter, options.smallestQuorum}, state,
            Clock::now())
     , snapshotIndex(state.snapshotIndex)
     , appliedTerm(state.snapshotTerm)
--- a/ledger/raft.h
+++ b/ledger/raft.h
@@ -23,6 +23,10 @@
     Duration heartbeat = milliseconds(50);
     Duration electionTimeout = milliseconds(300); // smallest; the largest is twice that
     std::uint64_t seed = 0; // of the election timeouts
+    // A voter that has been silent for this long is removed when that makes the quorum smaller, but not smaller than
+    // smallestQuorum; a replacement then leaves no dead voter behind. 0: never.
+    Duration removeSilentAfter{};
+    std::size_t smallestQuorum = 1;
 };
 
 // Durable state from which a member starts.
@@ -148,6 +152,7 @@
     void replicateTo(const std::string &id, Progress &progress, Time now);
     void sendHeartbeats(Time now);
     void adjustMembers(Time now);
+    bool removeSilent(Time now);
     void syncProgress(Time now);
     std::uint64_t appendOwn(proto::LogEntry entry);
     std::uint64_t appendConfig(const proto::LogConfig &config);
--- a/ledger/raftleader.cpp
+++ b/ledger/raftleader.cpp
@@ -133,6 +133,9 @@
             return;
         }
     }
+    if (removeSilent(now)) {
+        return;
+    }
     auto config = m_log.config();
     for (auto &learner : *config.mutable_members()) {
         const auto found = m_progress.find(learner.id());
@@ -147,6 +150,23 @@
     }
 }
 
+// Only an even number of voters has a smaller quorum with one less.
+bool Raft::removeSilent(Time now)
+{
+    const std::size_t voters = voterCount(m_log.config());
+    if (m_options.removeSilentAfter == Duration(0) || voters % 2 != 0 || voters / 2 < m_options.smallestQuorum) {
+        return false;
+    }
+    for (const auto &voter : m_log.config().members()) {
+        const auto found = m_progress.find(voter.id());
+        if (voter.voter() && found != m_progress.end() && now >= found->second.heard + m_options.removeSilentAfter) {
+            const proto::LogMember silent = voter;
+            return changeMember(silent, true).has_value();
+        }
+    }
+    return false;
+}
+
 // Keeps one progress for each other member; one whose data folder changed starts over.
 void Raft::syncProgress(Time now)
 {
--- a/ledger/table.cpp
+++ b/ledger/table.cpp
@@ -367,6 +367,32 @@
     return {};
 }
 
+// A version that is not higher changes nothing and is no error: the caller resends a declaration until it is
+// acknowledged, also after a newer one.
+proto::CommandResult Table::change(const proto::PutDeclaration &change)
+{
+    proto::CommandResult result;
+    const auto inForce = declaration().version();
+    result.set_version(std::max(inForce, change.declaration().version()));
+    result.set_repeated(change.declaration().version() <= inForce);
+    if (!result.repeated()) {
+        put(m_declaration, Kind::Declaration, {}, change.declaration());
+    }
+    return result;
+}
+
+proto::CommandResult Table::change(const proto::SetEvacuation &change)
+{
+    const auto found = m_evacuations.find(change.availability_zone());
+    if (change.active() != (found != m_evacuations.end() && found->second.active())) {
+        proto::Evacuation evacuation;
+        evacuation.set_availability_zone(change.availability_zone());
+        evacuation.set_active(change.active());
+        put(m_evacuations, Kind::Evacuation, change.availability_zone(), evacuation);
+    }
+    return {};
+}
+
 // A resend of the command that took the claim is granted again; any other command, also of the same host, is another
 // attempt to run the request and is refused.
 proto::CommandResult Table::change(const proto::ClaimRequest &change, const std::string &changeId)
@@ -467,6 +493,16 @@
     return m_members;
 }
 
+const proto::Declaration &Table::declaration() const
+{
+    return m_declaration.empty() ? proto::Declaration::default_instance() : m_declaration.begin()->second;
+}
+
+const std::map<std::string, proto::Evacuation> &Table::evacuations() const
+{
+    return m_evacuations;
+}
+
 Revision Table::revision() const
 {
     return m_revision;
--- a/ledger/table.h
+++ b/ledger/table.h
@@ -58,9 +58,11 @@
     const std::map<std::string, proto::Server> &servers() const;
     const std::map<std::string, proto::Shift> &shifts() const;
     const std::map<std::string, proto::Member> &members() const;
+    const proto::Declaration &declaration() const; // version 0 while none was put
+    const std::map<std::string, proto::Evacuation> &evacuations() const; // by availability zone
 
 private:
-    enum class Kind { Customer, Key, Row, Server, Shift, Member, Tombstone };
+    enum class Kind { Customer, Key, Row, Server, Shift, Member, Declaration, Evacuation, Tombstone };
 
     // Place of an object; tombstones are stored under "kind:key".
     struct Place
@@ -88,6 +90,8 @@
     proto::CommandResult change(const proto::AdvanceShift &change);
     proto::CommandResult change(const proto::PutMember &change);
     proto::CommandResult change(const proto::RemoveMember &change);
+    proto::CommandResult change(const proto::PutDeclaration &change);
+    proto::CommandResult change(const proto::SetEvacuation &change);
     proto::CommandResult change(const proto::ClaimRequest &change, const std::string &changeId);
     proto::CommandResult change(const proto::CompleteClaim &change);
     proto::CommandResult change(const proto::ReleaseClaim &change);
@@ -118,6 +122,8 @@
     std::map<std::string, proto::Server> m_servers;
     std::map<std::string, proto::Shift> m_shifts;
     std::map<std::string, proto::Member> m_members;
+    std::map<std::string, proto::Declaration> m_declaration; // none or one, under an empty name
+    std::map<std::string, proto::Evacuation> m_evacuations;
     std::map<std::string, proto::Tombstone> m_tombstones;
     std::map<std::string, std::string> m_keyOfDigest;
     std::map<Revision, Place> m_byRevision; // one place for each object, at its last change
--- a/ledger/tablecontent.cpp
+++ b/ledger/tablecontent.cpp
@@ -77,6 +77,10 @@
         return {Kind::Shift, command.advance_shift().id()};
     case proto::Command::kPutMember:
         return {Kind::Member, command.put_member().member().id()};
+    case proto::Command::kPutDeclaration:
+        return {Kind::Declaration, {}};
+    case proto::Command::kSetEvacuation:
+        return {Kind::Evacuation, command.set_evacuation().availability_zone()};
     default:
         return {};
     }
@@ -113,6 +117,10 @@
         return change(command.advance_shift());
     case proto::Command::kPutMember:
         return change(command.put_member());
+    case proto::Command::kPutDeclaration:
+        return change(command.put_declaration());
+    case proto::Command::kSetEvacuation:
+        return change(command.set_evacuation());
     case proto::Command::kClaim:
         return change(command.claim(), command.change_id());
     case proto::Command::kCompleteClaim:
@@ -193,6 +201,11 @@
         return toJson(m_shifts, place.key);
     case Kind::Member:
         return toJson(m_members, place.key);
+    case Kind::Declaration:
+        // The whole text would fill the audit trail, which keeps up to 100,000 records.
+        return "{\"version\":" + std::to_string(declaration().version()) + "}";
+    case Kind::Evacuation:
+        return toJson(m_evacuations, place.key);
     case Kind::Tombstone:
         break;
     }
@@ -220,6 +233,12 @@
     case Kind::Member:
         *content.add_members() = m_members.at(place.key);
         break;
+    case Kind::Declaration:
+        *content.mutable_declaration() = declaration();
+        break;
+    case Kind::Evacuation:
+        *content.add_evacuations() = m_evacuations.at(place.key);
+        break;
     case Kind::Tombstone:
         *content.add_tombstones() = m_tombstones.at(place.key);
         break;
@@ -236,6 +255,10 @@
     addAll(m_servers, content.mutable_servers());
     addAll(m_shifts, content.mutable_shifts());
     addAll(m_members, content.mutable_members());
+    addAll(m_evacuations, content.mutable_evacuations());
+    if (!m_declaration.empty()) {
+        *content.mutable_declaration() = declaration();
+    }
     return content;
 }
 
@@ -310,6 +333,12 @@
     for (const auto &member : content.members()) {
         m_members.emplace_hint(m_members.end(), member.id(), member);
     }
+    for (const auto &evacuation : content.evacuations()) {
+        m_evacuations.emplace_hint(m_evacuations.end(), evacuation.availability_zone(), evacuation);
+    }
+    if (content.has_declaration()) {
+        m_declaration.emplace(std::string(), content.declaration());
+    }
     for (const auto &tombstone : content.tombstones()) {
         m_tombstones.emplace(tombstone.kind() + ":" + tombstone.key(), tombstone);
     }
@@ -319,6 +348,8 @@
     index(m_servers, Kind::Server);
     index(m_shifts, Kind::Shift);
     index(m_members, Kind::Member);
+    index(m_declaration, Kind::Declaration);
+    index(m_evacuations, Kind::Evacuation);
     index(m_tombstones, Kind::Tombstone);
     m_contentRevision = m_byRevision.empty() ? 0 : m_byRevision.rbegin()->first;
     for (const auto &claim : image.claims()) {
--- /dev/null
+++ b/net/http.cpp
@@ -0,0 +1,320 @@
+#include "net/http.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace banyanledge
+{
+
+namespace
+{
+
+char lower(char c)
+{
+    return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
+// Calls `visit` with each element of a comma-separated list.
+template<typename Visit>
+void forEachElement(std::string_view list, Visit visit)
+{
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        visit(trimmed(list.substr(0, comma)));
+        list.remove_prefix(comma == std::string_view::npos ? list.size() : comma + 1);
+    }
+}
+
+int hexValue(char c)
+{
+    if (c >= '0' && c <= '9') {
+        return c - '0';
+    }
+    const char l = lower(c);
+    return l >= 'a' && l <= 'f' ? l - 'a' + 10 : -1;
+}
+
+std::string percentDecoded(std::string_view text)
+{
+    std::string result;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const int high = text[i] == '%' && i + 2 < text.size() ? hexValue(text[i + 1]) : -1;
+        const int low = high >= 0 ? hexValue(text[i + 2]) : -1;
+        if (low >= 0) {
+            result += static_cast<char>(high * 16 + low);
+            i += 2;
+        } else {
+            result += text[i] == '+' ? ' ' : text[i];
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+bool sameHeader(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size()
+        && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
+}
+
+const std::string *findHeader(const HttpHeaders &headers, std::string_view name)
+{
+    for (const auto &[key, value] : headers) {
+        if (sameHeader(key, name)) {
+            return &value;
+        }
+    }
+    return nullptr;
+}
+
+HttpHeaders endToEndHeaders(const HttpHeaders &headers)
+{
+    static constexpr std::array<std::string_view, 11> hopByHop{
+        "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "TE",
+        "Trailer",    "Upgrade",    "Transfer-Encoding",  "Content-Length",      "Expect"};
+    std::vector<std::string_view> named;
+    for (const auto &[name, value] : headers) {
+        if (sameHeader(name, "Connection")) {
+            forEachElement(value, [&named](std::string_view element) { named.push_back(element); });
+        }
+    }
+    const auto dropped = [&named](std::string_view name) {
+        const auto same = [name](std::string_view other) { return sameHeader(name, other); };
+        return std::any_of(hopByHop.begin(), hopByHop.end(), same) || std::any_of(named.begin(), named.end(), same);
+    };
+    HttpHeaders kept;
+    kept.reserve(headers.size());
+    for (const auto &header : headers) {
+        if (!dropped(header.first)) {
+            kept.push_back(header);
+        }
+    }
+    return kept;
+}
+
+std::string_view targetPath(std::string_view target)
+{
+    return target.substr(0, target.find_first_of("?#"));
+}
+
+std::optional<std::string> queryParameter(std::string_view target, std::string_view name)
+{
+    const auto mark = target.find('?');
+    std::string_view query = mark == std::string_view::npos ? std::string_view() : target.substr(mark + 1);
+    while (!query.empty()) {
+        const auto end = query.find('&');
+        const auto part = query.substr(0, end);
+        const auto equals = part.find('=');
+        if (percentDecoded(part.substr(0, equals)) == name) {
+            return equals == std::string_view::npos ? std::string() : percentDecoded(part.substr(equals + 1));
+        }
+        query.remove_prefix(end == std::string_view::npos ? query.size() : end + 1);
+    }
+    return std::nullopt;
+}
+
+const char *reasonPhrase(int status)
+{
+    return http_status_str(static_cast<http_status>(status));
+}
+
+struct HttpParser::Private
+{
+    http_parser parser{};
+    HttpHead head;
+    std::string body;
+    bool headDone = false;
+    bool complete = false;
+    bool failed = false;
+    bool noBody = false;
+    bool valueStarted = false;
+    std::size_t headBytes = 0;
+
+    static Private &of(http_parser *parser)
+    {
+        return *static_cast<Private *>(parser->data);
+    }
+
+    static int onUrl(http_parser *parser, const char *data, std::size_t size)
+    {
+        of(parser).head.target.append(data, size);
+        return 0;
+    }
+
+    static int onField(http_parser *parser, const char *data, std::size_t size)
+    {
+        auto &self = of(parser);
+        if (self.headDone) {
+            return 0; // trailers are dropped
+        }
+        if (self.valueStarted || self.head.headers.empty()) {
+            self.head.headers.emplace_back();
+            self.valueStarted = false;
+        }
+        self.head.headers.back().first.append(data, size);
+        return 0;
+    }
+
+    static int onValue(http_parser *parser, const char *data, std::size_t size)
+    {
+        auto &self = of(parser);
+        if (!self.headDone) {
+            self.valueStarted = true;
+            self.head.headers.back().second.append(data, size);
+        }
+        return 0;
+    }
+
+    static int onHead(http_parser *parser)
+    {
+        auto &self = of(parser);
+        self.headDone = true;
+        HttpHead &head = self.head;
+        head.keepAlive = http_should_keep_alive(parser) != 0;
+        head.chunked = (parser->flags & F_CHUNKED) != 0;
+        if ((parser->flags & F_CONTENTLENGTH) != 0) {
+            head.length = parser->content_length;
+        }
+        if (parser->type == HTTP_REQUEST) {
+            head.method = http_method_str(static_cast<http_method>(parser->method));
+        } else {
+            head.status = static_cast<int>(parser->status_code);
+            head.untilClose = !self.noBody && endsWithConnection(parser);
+        }
+        return self.noBody ? 1 : 0;
+    }
+
+    // Whether only the end of the connection tells the end of the body; the library keeps its own test private.
+    static bool endsWithConnection(const http_parser *parser)
+    {
+        const bool bodyless = parser->status_code / 100 == 1 || parser->status_code == 204 || parser->status_code == 304;
+        return !bodyless && (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+    }
+
+    static int onBody(http_parser *parser, const char *data, std::size_t size)
+    {
+        of(parser).body.append(data, size);
+        return 0;
+    }
+
+    // Pauses, so that bytes after the message stay with the caller.
+    static int onComplete(http_parser *parser)
+    {
+        of(parser).complete = true;
+        http_parser_pause(parser, 1);
+        return 0;
+    }
+};
+
+HttpParser::HttpParser(Kind kind)
+    : d(std::make_unique<Private>())
+{
+    http_parser_init(&d->parser, kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    d->parser.data = d.get();
+}
+
+HttpParser::~HttpParser() = default;
+HttpParser::HttpParser(HttpParser &&) noexcept = default;
+HttpParser &HttpParser::operator=(HttpParser &&) noexcept = default;
+
+std::size_t HttpParser::feed(std::string_view bytes)
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings result;
+        http_parser_settings_init(&result);
+        result.on_url = Private::onUrl;
+        result.on_header_field = Private::onField;
+        result.on_header_value = Private::onValue;
+        result.on_headers_complete = Private::onHead;
+        result.on_body = Private::onBody;
+        result.on_message_complete = Private::onComplete;
+        return result;
+    }();
+    if (d->complete || d->failed || bytes.empty()) {
+        return 0;
+    }
+    const bool inHead = !d->headDone;
+    const std::size_t used = http_parser_execute(&d->parser, &settings, bytes.data(), bytes.size());
+    const auto error = HTTP_PARSER_ERRNO(&d->parser);
+    if (error == HPE_PAUSED) {
+        http_parser_pause(&d->parser, 0);
+    } else if (error != HPE_OK) {
+        d->failed = true;
+    }
+    if (inHead) {
+        d->headBytes += used;
+    }
+    return used;
+}
+
+void HttpParser::finish()
+{
+    if (d->headDone && !d->complete && d->head.untilClose) {
+        d->complete = true;
+    }
+}
+
+void HttpParser::expectNoBody()
+{
+    d->noBody = true;
+}
+
+bool HttpParser::headDone() const
+{
+    return d->headDone;
+}
+
+bool HttpParser::complete() const
+{
+    return d->complete;
+}
+
+bool HttpParser::failed() const
+{
+    return d->failed;
+}
+
+std::string HttpParser::failure() const
+{
+    return http_errno_description(HTTP_PARSER_ERRNO(&d->parser));
+}
+
+std::size_t HttpParser::headBytes() const
+{
+    return d->headBytes;
+}
+
+const HttpHead &HttpParser::head() const
+{
+    return d->head;
+}
+
+std::string HttpParser::takeBody()
+{
+    return std::exchange(d->body, {});
+}
+
+void HttpParser::reset()
+{
+    const auto type = static_cast<http_parser_type>(d->parser.type);
+    *d = Private();
+    http_parser_init(&d->parser, type);
+    d->parser.data = d.get();
+}
+
+} // namespace banyanledge
--- /dev/null
+++ b/net/http.h
@@ -0,0 +1,86 @@
+// HTTP/1.1 messages and an incremental parser for both directions, over http_parser.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace banyanledge
+{
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+// Value of the first header of that name, compared without regard to case; nullptr when absent.
+const std::string *findHeader(const HttpHeaders &headers, std::string_view name);
+
+// Whether two header names are equal without regard to case.
+bool sameHeader(std::string_view a, std::string_view b);
+
+// Head of a request or an answer.
+struct HttpHead
+{
+    std::string method; // of a request
+    std::string target; // of a request, with its query
+    int status = 0; // of an answer
+    HttpHeaders headers;
+    bool keepAlive = false; // the sender may use the connection again
+    bool chunked = false;
+    std::optional<std::uint64_t> length; // declared length of the body
+    bool untilClose = false; // the body ends with the connection
+};
+
+// Headers that concern one connection only and are never passed on, among them those that Connection names.
+HttpHeaders endToEndHeaders(const HttpHeaders &headers);
+
+// Decoded query parameter of a request target; nullopt when absent.
+std::optional<std::string> queryParameter(std::string_view target, std::string_view name);
+
+// Path of a request target, without its query.
+std::string_view targetPath(std::string_view target);
+
+// Usual reason phrase of a status.
+const char *reasonPhrase(int status);
+
+class HttpParser
+{
+public:
+    enum class Kind { Request, Response };
+
+    explicit HttpParser(Kind kind);
+    ~HttpParser();
+    HttpParser(HttpParser &&) noexcept;
+    HttpParser &operator=(HttpParser &&) noexcept;
+
+    // Takes bytes up to the end of the message and returns how many; the rest belongs to the next message.
+    std::size_t feed(std::string_view bytes);
+
+    // Tells that the connection ended; completes a body that lasts until then.
+    void finish();
+
+    // The next answer has no body, because it answers a HEAD request.
+    void expectNoBody();
+
+    bool headDone() const;
+    bool complete() const;
+    bool failed() const; // the bytes are no HTTP
+    std::string failure() const; // what is wrong, for logs
+    std::size_t headBytes() const; // size of the head so far
+
+    const HttpHead &head() const;
+
+    // Body bytes since the last call.
+    std::string takeBody();
+
+    // Starts over with the next message.
+    void reset();
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace banyanledge
--- /dev/null
+++ b/net/server.cpp
@@ -0,0 +1,515 @@
+#include "net/server.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+#include <set>
+
+#include "base/error.h"
+#include "base/log.h"
+#include "net/address.h"
+
+namespace banyanledge
+{
+
+namespace
+{
+
+using asio::ip::tcp;
+
+// Bytes read at once.
+constexpr std::size_t readBytes = 16384;
+
+// Bytes of following requests that are kept while one is answered; more stay in the socket.
+constexpr std::size_t longestPipeline = 65536;
+
+// Time for a caller to take the last answer before the connection is closed for good.
+constexpr milliseconds lingerTime{1000};
+
+// Time after which a caller that acknowledges no bytes is given up.
+constexpr milliseconds callerSilence{10000};
+
+// Pause of accepting after an error such as a lack of descriptors.
+constexpr milliseconds acceptPause{50};
+
+} // namespace
+
+class Connection;
+
+class HttpServer::Private : public std::enable_shared_from_this<HttpServer::Private>
+{
+public:
+    Private(asio::io_context &given, Options options)
+        : loop(given)
+        , acceptor(given)
+        , pause(given)
+        , options(std::move(options))
+    {
+    }
+
+    bool open();
+    void accept();
+
+    asio::io_context &loop;
+    tcp::acceptor acceptor;
+    asio::steady_timer pause;
+    const Options options;
+    std::set<std::shared_ptr<Connection>> connections;
+    bool closing = false; // answers ask callers to close
+    bool stopped = false;
+};
+
+class Connection : public HttpCall, public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(std::shared_ptr<HttpServer::Private> server, tcp::socket socket)
+        : m_server(std::move(server))
+        , m_socket(std::move(socket))
+        , m_timer(m_server->loop)
+        , m_limits(m_server->options.limits())
+    {
+    }
+
+    void start()
+    {
+        waitIdle();
+        read();
+    }
+
+    bool idle() const
+    {
+        return m_state == State::Reading && m_input.empty() && !m_begun;
+    }
+
+    void close()
+    {
+        if (m_closed) {
+            return;
+        }
+        m_closed = true;
+        asio::error_code ignored; // the connection ends in any case
+        m_socket.close(ignored);
+        m_timer.cancel();
+        m_server->connections.erase(shared_from_this());
+        if (m_state == State::Answering) {
+            m_state = State::Closing;
+            if (const auto left = std::exchange(m_left, {})) {
+                left();
+            }
+        }
+        m_left = {};
+        m_drained = {};
+    }
+
+    const HttpRequest &request() const override
+    {
+        return m_request;
+    }
+
+    void respond(int status, const HttpHeaders &headers, const std::string &body) override
+    {
+        begin(status, headers, body.size());
+        write(body);
+        end();
+    }
+
+    void begin(int status, const HttpHeaders &headers, std::optional<std::uint64_t> length) override
+    {
+        if (m_state != State::Answering || m_answerBegun) {
+            return;
+        }
+        m_answerBegun = true;
+        m_closeAfter = m_closeAfter || !m_request.head.keepAlive || m_server->closing;
+        std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
+        for (const auto &[name, value] : headers) {
+            head += name + ": " + value + "\r\n";
+        }
+        const bool bodyless = status / 100 == 1 || status == 204 || status == 304;
+        m_noBody = bodyless || m_request.head.method == "HEAD";
+        if (length && !bodyless) {
+            head += "Content-Length: " + std::to_string(*length) + "\r\n";
+        } else if (!length && !bodyless) {
+            head += "Transfer-Encoding: chunked\r\n";
+            m_chunked = true;
+        }
+        if (m_closeAfter) {
+            head += "Connection: close\r\n";
+        }
+        send(head + "\r\n");
+    }
+
+    void write(std::string bytes) override
+    {
+        if (m_state != State::Answering || !m_answerBegun || bytes.empty() || m_noBody) {
+            return;
+        }
+        if (m_chunked) {
+            char size[32];
+            std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+            bytes = size + std::move(bytes) + "\r\n";
+        }
+        send(std::move(bytes));
+    }
+
+    void end() override
+    {
+        if (m_state != State::Answering || !m_answerBegun) {
+            return;
+        }
+        if (m_chunked && !m_noBody) {
+            send("0\r\n\r\n");
+        }
+        m_ended = true;
+        m_left = {};
+        finishAnswer();
+    }
+
+    std::size_t unsent() const override
+    {
+        return m_output.size() + m_writing.size();
+    }
+
+    void onDrained(std::function<void()> drained) override
+    {
+        m_drained = std::move(drained);
+    }
+
+    void abort() override
+    {
+        m_left = {};
+        asio::error_code ignored; // the connection ends in any case
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
+    void onLeft(std::function<void()> left) override
+    {
+        m_left = std::move(left);
+        if (m_closed && m_left) {
+            std::exchange(m_left, {})();
+        }
+    }
+
+private:
+    enum class State { Reading, Answering, Closing };
+
+    void read()
+    {
+        if (m_closed || m_reading || m_input.size() >= longestPipeline) {
+            return;
+        }
+        m_reading = true;
+        m_socket.async_read_some(asio::buffer(m_chunk),
+                                 [self = shared_from_this()](const asio::error_code &error, std::size_t size) {
+                                     self->m_reading = false;
+                                     self->onRead(error, size);
+                                 });
+    }
+
+    void onRead(const asio::error_code &error, std::size_t size)
+    {
+        if (m_closed) {
+            return;
+        }
+        if (error) {
+            close();
+            return;
+        }
+        if (m_state != State::Closing) {
+            m_input.append(m_chunk.data(), size);
+        }
+        if (m_state == State::Reading) {
+            parse();
+        }
+        read();
+    }
+
+    void parse()
+    {
+        if (m_input.empty()) {
+            return;
+        }
+        if (!m_begun) {
+            m_begun = true;
+            m_limits = m_server->options.limits();
+            m_request = {};
+            m_request.began = Clock::now();
+            waitHeader();
+        }
+        const std::size_t used = m_parser.feed(m_input);
+        m_input.erase(0, used);
+        if (m_parser.failed()) {
+            reject(400, m_parser.failure());
+        } else if (m_parser.headBytes() > m_limits.headerBytes && (!m_parser.headDone() || !m_headSeen)) {
+            reject(431, "the header is larger than the limit");
+        } else if (m_parser.headDone()) {
+            onBody();
+        }
+    }
+
+    void onBody()
+    {
+        const HttpHead &head = m_parser.head();
+        if (!m_headSeen) {
+            m_headSeen = true;
+            const std::string *expect = findHeader(head.headers, "Expect");
+            if (expect != nullptr && sameHeader(*expect, "100-continue")) {
+                send("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+        }
+        m_request.body += m_parser.takeBody();
+        if (m_request.body.size() > m_limits.bodyBytes || head.length.value_or(0) > m_limits.bodyBytes) {
+            reject(413, "the body is larger than the limit");
+            return;
+        }
+        if (m_parser.complete()) {
+            m_request.head = head;
+            m_request.read = Clock::now();
+            m_timer.cancel();
+            m_state = State::Answering;
+            m_server->options.handle(shared_from_this());
+        }
+    }
+
+    // Answers a request that can't be read, and closes, because the next one can't be found.
+    void reject(int status, const std::string &reason)
+    {
+        if (m_server->options.rejected) {
+            m_server->options.rejected(status);
+        }
+        m_state = State::Answering;
+        m_closeAfter = true;
+        respond(status, {{"Content-Type", "text/plain"}}, reason + "\n");
+    }
+
+    void send(std::string bytes)
+    {
+        m_output += bytes;
+        if (m_writing.empty()) {
+            flush();
+        }
+    }
+
+    void flush()
+    {
+        if (m_closed || m_output.empty()) {
+            return;
+        }
+        m_writing = std::exchange(m_output, {});
+        asio::async_write(m_socket, asio::buffer(m_writing),
+                          [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+                              self->m_writing.clear();
+                              self->onWritten(error);
+                          });
+    }
+
+    void onWritten(const asio::error_code &error)
+    {
+        if (m_closed) {
+            return;
+        }
+        if (error) {
+            close();
+            return;
+        }
+        flush();
+        if (m_ended) {
+            finishAnswer();
+        } else if (const auto drained = std::exchange(m_drained, {})) {
+            drained();
+        }
+    }
+
+    // Goes on with the next request once the whole answer was written.
+    void finishAnswer()
+    {
+        if (!m_ended || !m_output.empty() || !m_writing.empty() || m_closed) {
+            return;
+        }
+        m_ended = false;
+        m_drained = {};
+        if (m_closeAfter) {
+            linger();
+            return;
+        }
+        m_state = State::Reading;
+        m_begun = false;
+        m_headSeen = false;
+        m_answerBegun = false;
+        m_chunked = false;
+        m_parser.reset();
+        waitIdle();
+        // Not directly: a pipelined request must not nest in the previous one's answer.
+        asio::post(m_server->loop, [self = shared_from_this()] {
+            if (!self->m_closed && self->m_state == State::Reading) {
+                self->parse();
+                self->read();
+            }
+        });
+    }
+
+    // Closing with unread bytes would reset the connection and could destroy the answer on its way.
+    void linger()
+    {
+        m_state = State::Closing;
+        m_input.clear();
+        asio::error_code ignored; // the caller may have closed already
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        wait(lingerTime, [this] { close(); });
+        read();
+    }
+
+    void waitIdle()
+    {
+        wait(m_limits.idleTimeout, [this] { close(); });
+    }
+
+    void waitHeader()
+    {
+        wait(m_limits.headerTimeout, [this] {
+            if (m_state == State::Reading && !m_headSeen) {
+                reject(408, "the header did not arrive in time");
+            }
+        });
+    }
+
+    void wait(Duration time, std::function<void()> expired)
+    {
+        m_timer.expires_after(time);
+        m_timer.async_wait([self = shared_from_this(), expired = std::move(expired)](const asio::error_code &error) {
+            if (!error && !self->m_closed) {
+                expired();
+            }
+        });
+    }
+
+    std::shared_ptr<HttpServer::Private> m_server;
+    tcp::socket m_socket;
+    asio::steady_timer m_timer;
+    HttpLimits m_limits;
+    HttpParser m_parser{HttpParser::Kind::Request};
+    std::array<char, readBytes> m_chunk{};
+    std::string m_input; // bytes not parsed yet
+    std::string m_output; // bytes not handed to the socket yet
+    std::string m_writing; // bytes handed to the socket
+    HttpRequest m_request;
+    State m_state = State::Reading;
+    bool m_begun = false; // of the present request: some bytes arrived
+    bool m_headSeen = false;
+    bool m_answerBegun = false;
+    bool m_ended = false; // the whole answer was handed over
+    bool m_chunked = false;
+    bool m_noBody = false;
+    bool m_closeAfter = false;
+    bool m_reading = false;
+    bool m_closed = false;
+    std::function<void()> m_left;
+    std::function<void()> m_drained;
+};
+
+bool HttpServer::Private::open()
+{
+    const auto endpoint = parseEndpoint(options.address);
+    if (!endpoint) {
+        return false;
+    }
+    asio::error_code error;
+    acceptor.open(endpoint->protocol(), error);
+    if (!error) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(*endpoint, error);
+    }
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        fail(proto::ERROR_IO,
+             "cannot listen on " + options.address + ": " + error.message() + "; free the address or choose another");
+        return false;
+    }
+    return true;
+}
+
+void HttpServer::Private::accept()
+{
+    if (stopped) {
+        return;
+    }
+    acceptor.async_accept([self = shared_from_this()](const asio::error_code &error, tcp::socket socket) {
+        if (self->stopped) {
+            return;
+        }
+        if (error) {
+            logWarning("a connection could not be accepted", {{"reason", error.message()}});
+            self->pause.expires_after(acceptPause);
+            self->pause.async_wait([self](const asio::error_code &) { self->accept(); });
+            return;
+        }
+        setSocketOptions(socket, callerSilence);
+        auto connection = std::make_shared<Connection>(self, std::move(socket));
+        self->connections.insert(connection);
+        connection->start();
+        self->accept();
+    });
+}
+
+std::unique_ptr<HttpServer> HttpServer::start(asio::io_context &loop, Options options)
+{
+    auto priv = std::make_shared<Private>(loop, std::move(options));
+    if (!priv->open()) {
+        return nullptr;
+    }
+    priv->accept();
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(priv)));
+}
+
+HttpServer::HttpServer(std::shared_ptr<Private> priv)
+    : d(std::move(priv))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+    const auto connections = d->connections;
+    for (const auto &connection : connections) {
+        connection->close();
+    }
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    d->closing = true;
+}
+
+void HttpServer::closeIdle()
+{
+    const auto connections = d->connections;
+    for (const auto &connection : connections) {
+        if (connection->idle()) {
+            connection->close();
+        }
+    }
+}
+
+void HttpServer::stopAccepting()
+{
+    d->stopped = true;
+    asio::error_code ignored; // nothing is accepted any more in any case
+    d->acceptor.close(ignored);
+}
+
+std::size_t HttpServer::connections() const
+{
+    return d->connections.size();
+}
+
+} // namespace banyanledge
