--- a/apps/banyanledged.cpp
+++ b/apps/banyanledged.cpp
@@ -176,9 +176,12 @@
     return true;
 }
 
-// One gRPC server carries the services of all roles.
+// One gRPC server carries the services of all roles; a gateway offers none.
 bool startServer(Host &host, const proto::Settings &settings)
 {
+    if (!settings.control().enabled() && !settings.entry().enabled()) {
+        return true;
+    }
     grpc::ServerBuilder builder;
     int port = 0;
     builder.AddListeningPort(settings.host().rpc_listen(), grpc::InsecureServerCredentials(), &port);
--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -155,6 +155,13 @@
         }
         return value.has_value();
     }
+    if (field->cpp_type() == FieldDescriptor::CPPTYPE_DOUBLE) {
+        const auto value = parseNumber<double>(text, rule, place);
+        if (value) {
+            reflection->SetDouble(&section, field, *value);
+        }
+        return value.has_value();
+    }
     const auto value = parseNumber<std::uint64_t>(text, rule, place);
     if (value) {
         reflection->SetUInt64(&section, field, *value);
--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -43,8 +43,9 @@
 
 RetryBound GatewayState::retryBound() const
 {
-    return {options.settings.retry_ratio(), milliseconds(options.settings.retry_window_ms()),
-            options.settings.retry_slack()};
+    const auto &settings = options.settings;
+    const auto window = std::chrono::duration<double>(settings.retry_window_s());
+    return {settings.retry_ratio(), std::chrono::duration_cast<milliseconds>(window), settings.retry_slack()};
 }
 
 void GatewayState::setView(const std::shared_ptr<const View> &view, Time now)
