--- a/control/declarations.cpp
+++ b/control/declarations.cpp
@@ -11,11 +11,12 @@
 
 void logResult(const char *what, const std::string &subject, const proto::CommandResult &result)
 {
-    logInfo(what, {{"subject", subject},
-                   {"result", kindName(result.kind())},
-                   {"message", result.message()},
-                   {"revision", std::to_string(result.revision())},
-                   {"version_in_force", std::to_string(result.version())}});
+    logInfo(what,
+            {{"subject", subject},
+             {"result", kindName(result.kind())},
+             {"message", result.message()},
+             {"revision", std::to_string(result.revision())},
+             {"version_in_force", std::to_string(result.version())}});
 }
 
 proto::Command operatorCommand()
--- a/control/objects.cpp
+++ b/control/objects.cpp
@@ -11,9 +11,9 @@
 bool hasObjects(const proto::TableContent &content)
 {
     return content.customers_size() + content.keys_size() + content.rows_size() + content.servers_size()
-        + content.shifts_size() + content.members_size() + content.tombstones_size()
-            + content.evacuations_size()
-        > 0 || content.has_declaration();
+            + content.shifts_size() + content.members_size() + content.tombstones_size() + content.evacuations_size()
+        > 0
+        || content.has_declaration();
 }
 
 // An object may have been put again after its removal within the same delta.
--- a/decide/placement.cpp
+++ b/decide/placement.cpp
@@ -36,9 +36,9 @@
 double estimatedLoad(const ServerState &state, Time now)
 {
     const double own = state.inFlight;
-    const double age = state.reportedAt == Time{} ? 1
-                                                  : std::chrono::duration<double>(now - state.reportedAt)
-            / std::chrono::duration<double>(reportLifetime);
+    const double age = state.reportedAt == Time{}
+        ? 1
+        : std::chrono::duration<double>(now - state.reportedAt) / std::chrono::duration<double>(reportLifetime);
     if (age >= 1) {
         return own;
     }
--- a/decide/shares.cpp
+++ b/decide/shares.cpp
@@ -38,11 +38,11 @@
     }
 }
 
-double RateShares::heldBy(const std::string &host, const std::string &customer, double fallback, Time now) const
+double RateShares::heldBy(const std::string &host, const std::string &customer, Time now) const
 {
     const auto holder = m_holders.find(host);
     if (holder == m_holders.end()) {
-        return now < m_since + shareTerm ? fallback : 0;
+        return 0;
     }
     const auto held = holder->second.held.find(customer);
     const double value = held == holder->second.held.end() ? 0 : held->second;
@@ -61,6 +61,8 @@
         }
     }
     const auto count = static_cast<double>(all.size());
+    const bool allHeard = now >= m_since + shareTerm
+        || std::all_of(all.begin(), all.end(), [this](const auto &name) { return m_holders.contains(name); });
     Holder &own = m_holders[host];
     for (const auto &customer : declaration.customers()) {
         if (customer.rate() <= 0) {
@@ -76,18 +78,19 @@
                 demand += found == holder->second.demand.end() ? 0 : found->second;
             }
             if (name != host) {
-                others += heldBy(name, customer.name(), given / count, now);
+                others += heldBy(name, customer.name(), now);
             }
         }
         const double ownDemand = own.demand.contains(customer.name()) ? own.demand[customer.name()] : 0;
         const double byDemand = demand > 0 ? ownDemand / demand : 1 / count;
         const double wanted = given * (evenPart / count + (1 - evenPart) * byDemand);
+        double &held = own.held[customer.name()];
+        const double most = allHeard ? customer.rate() - others : std::min(held, customer.rate());
         proto::RateShare share;
         share.set_customer(customer.name());
-        share.set_rate(std::max(0.0, std::min(wanted, customer.rate() - others)));
+        share.set_rate(std::max(0.0, std::min(wanted, most)));
         share.set_burst(customer.burst() * burstPart * share.rate() / customer.rate());
         // Until the host reports again it may hold the larger of the old and the new share.
-        double &held = own.held[customer.name()];
         held = std::max(held, share.rate());
         shares.push_back(share);
     }
--- a/decide/shares.h
+++ b/decide/shares.h
@@ -25,7 +25,7 @@
     void reported(const proto::SyncRequest &request, Time now);
 
     // Shares of a host for its next answer. `hosts` are the live entry hosts; a leader that has not heard all of them
-    // yet assumes that the others hold the most they can, until shareTerm has passed.
+    // yet raises no share until shareTerm has passed, because the others may hold the rest of the rate.
     std::vector<proto::RateShare> sharesFor(const std::string &host, const proto::Declaration &declaration,
                                             const std::set<std::string> &hosts, Time now);
 
@@ -38,7 +38,7 @@
         std::map<std::string, double> demand;
     };
 
-    double heldBy(const std::string &host, const std::string &customer, double fallback, Time now) const;
+    double heldBy(const std::string &host, const std::string &customer, Time now) const;
 
     std::map<std::string, Holder> m_holders; // by host
     Time m_since{};
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -142,9 +142,8 @@
     const milliseconds routeTimeout(m_route->timeout_ms() > 0 ? m_route->timeout_ms() : longestDeadline.count());
     m_limit = request.began + std::min(routeTimeout, wait ? milliseconds(*wait) : routeTimeout);
     const std::string object = headerValue(request.head.headers, m_state.options.names.object);
-    m_object = m_route->affinity() && !object.empty()
-        ? mixHashes(hashText(object), hashText(m_route->path_prefix()))
-        : m_state.random();
+    m_object = m_route->affinity() && !object.empty() ? mixHashes(hashText(object), hashText(m_route->path_prefix()))
+                                                      : m_state.random();
     m_serviceName = m_state.nextService(*m_route);
     m_service = m_routing->service(m_serviceName);
     if (m_service == nullptr || m_service->declared == nullptr) {
@@ -271,9 +270,7 @@
     AttemptHandlers handlers;
     handlers.head = [self = shared_from_this()](const HttpHead &head) { self->onHead(head); };
     handlers.body = [self = shared_from_this()](std::string bytes) { self->onBody(std::move(bytes)); };
-    handlers.end = [self = shared_from_this()](AttemptEnd end, const std::string &reason) {
-        self->onEnd(end, reason);
-    };
+    handlers.end = [self = shared_from_this()](AttemptEnd end, const std::string &reason) { self->onEnd(end, reason); };
     m_attempt->sending = m_state.upstream.send(std::move(request), std::move(handlers));
 }
 
@@ -287,8 +284,8 @@
         noteReport(*attempt.target.state, std::max(0.0, *load), Clock::now());
     }
     attempt.refused = findHeader(head.headers, names.notRun) != nullptr || head.status == 421;
-    const bool own = findHeader(head.headers, names.signature) != nullptr
-        && findHeader(head.headers, "Content-Encoding") == nullptr;
+    const bool own =
+        findHeader(head.headers, names.signature) != nullptr && findHeader(head.headers, "Content-Encoding") == nullptr;
     attempt.failed = !attempt.refused && (head.status >= 500 || !own);
 }
 
@@ -377,7 +374,8 @@
         if (own && attempt.head.status >= 500) {
             m_held = HeldAnswer{attempt.head, std::move(attempt.body)};
         }
-        repeatOrGiveUp(true, "server " + attempt.target.server->id + ": "
+        repeatOrGiveUp(true,
+                       "server " + attempt.target.server->id + ": "
                            + (own ? "status " + std::to_string(attempt.head.status) : "answer without signature"));
         return;
     }
@@ -408,12 +406,13 @@
 void ForwardedRequest::repeatOrGiveUp(bool ran, const std::string &reason)
 {
     const Time now = Clock::now();
-    logInfo("attempt failed", {{"request", m_id},
-                               {"service", m_serviceName},
-                               {"reason", reason},
-                               {"ran", ran ? "maybe" : "no"},
-                               {"attempt", std::to_string(m_sends)},
-                               {"left_ms", millisecondsText(remaining(now))}});
+    logInfo("attempt failed",
+            {{"request", m_id},
+             {"service", m_serviceName},
+             {"reason", reason},
+             {"ran", ran ? "maybe" : "no"},
+             {"attempt", std::to_string(m_sends)},
+             {"left_ms", millisecondsText(remaining(now))}});
     if (mayRepeat(ran) && m_serviceState->retries.take(m_state.retryBound(), m_routing->hosts().size(), now)) {
         countMetric("banyanledge_gateway_repeats_total", {{"service", m_serviceName}});
         attempt();
@@ -498,22 +497,24 @@
     countMetric("banyanledge_gateway_requests_total", {{"route", route}, {"status", std::to_string(status)}});
     observeMetric("banyanledge_gateway_request_seconds", {{"route", route}},
                   std::chrono::duration<double>(took).count());
-    logInfo("request", {{"request", m_id},
-                        {"status", std::to_string(status)},
-                        {"reason", reason},
-                        {"route", route},
-                        {"service", m_serviceName},
-                        {"customer", m_customer == nullptr ? "" : m_customer->name()},
-                        {"version", std::to_string(m_routing->version())},
-                        {"attempts", std::to_string(m_sends)},
-                        {"servers", [this] {
-                             std::string names;
-                             for (const auto &id : m_tried) {
-                                 names += (names.empty() ? "" : ",") + id;
-                             }
-                             return names;
-                         }()},
-                        {"ms", millisecondsText(took)}});
+    logInfo("request",
+            {{"request", m_id},
+             {"status", std::to_string(status)},
+             {"reason", reason},
+             {"route", route},
+             {"service", m_serviceName},
+             {"customer", m_customer == nullptr ? "" : m_customer->name()},
+             {"version", std::to_string(m_routing->version())},
+             {"attempts", std::to_string(m_sends)},
+             {"servers",
+              [this] {
+                  std::string names;
+                  for (const auto &id : m_tried) {
+                      names += (names.empty() ? "" : ",") + id;
+                  }
+                  return names;
+              }()},
+             {"ms", millisecondsText(took)}});
 }
 
 } // namespace banyanledge
--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -54,8 +54,7 @@
         : options(std::move(given))
         , gateway(loop, {options.settings.host(), options.settings.gateway(), options.names})
         , follower({memberOf(options.settings),
-                    withPort(options.settings.entry().control_hosts(),
-                                  options.settings.entry().control_rpc_port()),
+                    withPort(options.settings.entry().control_hosts(), options.settings.entry().control_rpc_port()),
                     [this](proto::SyncRequest &request) { addReport(request); },
                     [this](const std::vector<proto::RateShare> &shares) {
                         asio::post(loop, [this, shares] { gateway.setShares(shares); });
--- a/gateway/routing.h
+++ b/gateway/routing.h
@@ -65,7 +65,8 @@
 
 private:
     std::shared_ptr<const View> m_view;
-    std::unordered_map<std::string, std::vector<const proto::DeclaredRoute *>> m_routes; // by host, longest prefix first
+    std::unordered_map<std::string, std::vector<const proto::DeclaredRoute *>>
+        m_routes; // by host, longest prefix first
     std::unordered_map<std::string, const proto::DeclaredCustomer *> m_customers; // by key digest
     std::unordered_map<std::string, RoutedService> m_services;
     std::vector<RoutedServer> m_servers;
--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -53,9 +53,10 @@
     const auto previous = routing;
     routing = Routing::build(view);
     if (routing->version() != previous->version()) {
-        logInfo("declaration in force", {{"version", std::to_string(routing->version())},
-                                         {"previous", std::to_string(previous->version())},
-                                         {"revision", std::to_string(view->revision())}});
+        logInfo("declaration in force",
+                {{"version", std::to_string(routing->version())},
+                 {"previous", std::to_string(previous->version())},
+                 {"revision", std::to_string(view->revision())}});
     }
     noteServers(now);
 }
@@ -79,10 +80,11 @@
             state.coldUntil = now + milliseconds(warmup);
         }
         stamp->second = server.stamp;
-        logInfo("backend server in use", {{"server", server.id},
-                                          {"service", server.service},
-                                          {"zone", server.zone},
-                                          {"revision", std::to_string(routing->view().revision())}});
+        logInfo("backend server in use",
+                {{"server", server.id},
+                 {"service", server.service},
+                 {"zone", server.zone},
+                 {"revision", std::to_string(routing->view().revision())}});
     }
     for (auto &[id, stamp] : m_stamps) {
         if (!stamp.empty() && !present.contains(id)) {
@@ -132,8 +134,7 @@
 double GatewayState::coldRate(const RoutedService &service, const RoutedServer &server) const
 {
     const auto &settings = options.settings;
-    const double bound =
-        service.declared->warmup_per_second() * settings.warmup_overshoot() + settings.warmup_slack();
+    const double bound = service.declared->warmup_per_second() * settings.warmup_overshoot() + settings.warmup_slack();
     const std::uint64_t own = mixHashes(server.hash, hashText(options.host.id()));
     std::size_t rank = 0;
     bool listed = false;
@@ -231,8 +232,8 @@
     if (homeServes && leaves) {
         order.push_back(&home);
     }
-    search.state->overflow = std::min(
-        overflowBurst, search.state->overflow + options.settings.largest_shift() * overflowUse);
+    search.state->overflow =
+        std::min(overflowBurst, search.state->overflow + options.settings.largest_shift() * overflowUse);
     PlacementEnd end = PlacementEnd::NoServer;
     for (const std::string *region : order) {
         // A request leaves the region chosen for it freely when no server there works, else within the allowance.
--- a/ledger/check.cpp
+++ b/ledger/check.cpp
@@ -190,7 +190,9 @@
     }
     std::set<std::pair<std::string, std::string>> places;
     for (const auto &route : declaration.routes()) {
-        const auto wrong = [&route](const std::string &message) { return invalid("route " + route.name() + ": " + message); };
+        const auto wrong = [&route](const std::string &message) {
+            return invalid("route " + route.name() + ": " + message);
+        };
         if (route.host().empty()) {
             return wrong("host is empty; write the host name that callers use");
         }
--- a/ledger/nodeloop.cpp
+++ b/ledger/nodeloop.cpp
@@ -58,8 +58,8 @@
     : options(std::move(given))
     , store(std::move(opened))
     , raft({options.id, state.hard.identity(), options.heartbeat, options.electionTimeout, randomId(),
-            options.removeSilentAfter, options.smallestQuorum}, state,
-           Clock::now())
+            options.removeSilentAfter, options.smallestQuorum},
+           state, Clock::now())
     , snapshotIndex(state.snapshotIndex)
     , appliedTerm(state.snapshotTerm)
     , appliedConfig(state.config)
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -84,9 +84,17 @@
 
 HttpHeaders endToEndHeaders(const HttpHeaders &headers)
 {
-    static constexpr std::array<std::string_view, 11> hopByHop{
-        "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "TE",
-        "Trailer",    "Upgrade",    "Transfer-Encoding",  "Content-Length",      "Expect"};
+    static constexpr std::array<std::string_view, 11> hopByHop{"Connection",
+                                                               "Keep-Alive",
+                                                               "Proxy-Authenticate",
+                                                               "Proxy-Authorization",
+                                                               "Proxy-Connection",
+                                                               "TE",
+                                                               "Trailer",
+                                                               "Upgrade",
+                                                               "Transfer-Encoding",
+                                                               "Content-Length",
+                                                               "Expect"};
     std::vector<std::string_view> named;
     for (const auto &[name, value] : headers) {
         if (sameHeader(name, "Connection")) {
@@ -202,7 +210,8 @@
     // Whether only the end of the connection tells the end of the body; the library keeps its own test private.
     static bool endsWithConnection(const http_parser *parser)
     {
-        const bool bodyless = parser->status_code / 100 == 1 || parser->status_code == 204 || parser->status_code == 304;
+        const bool bodyless =
+            parser->status_code / 100 == 1 || parser->status_code == 204 || parser->status_code == 304;
         return !bodyless && (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
     }
 
--- /dev/null
+++ b/tests/gateway_bed.cpp
@@ -0,0 +1,297 @@
+#include "gateway_bed.h"
+
+#include <asio/connect.hpp>
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "base/digest.h"
+#include "net/address.h"
+
+namespace banyanledge
+{
+
+using asio::ip::tcp;
+
+namespace
+{
+
+// Longest wait for a condition.
+constexpr std::chrono::seconds patience{10};
+
+std::string freeAddress()
+{
+    asio::io_context loop;
+    tcp::acceptor acceptor(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+WireNames names()
+{
+    return {"Req-Id", "Left-Ms", "Object", "Signed", "Customer", "Expect", "Load", "Not-Run", "Bearer"};
+}
+
+std::string headerOf(const HttpHead &head, const std::string &name)
+{
+    const std::string *value = findHeader(head.headers, name);
+    return value == nullptr ? "" : *value;
+}
+
+} // namespace
+
+std::string SeenRequest::header(const std::string &name) const
+{
+    return headerOf(head, name);
+}
+
+std::string CallerAnswer::header(const std::string &name) const
+{
+    return headerOf(head, name);
+}
+
+int CallerAnswer::status() const
+{
+    return head.status;
+}
+
+ScriptedConnection::ScriptedConnection(ScriptedServer &server, tcp::socket socket)
+    : m_server(server)
+    , m_socket(std::move(socket))
+{
+}
+
+void ScriptedConnection::write(const std::string &bytes)
+{
+    asio::error_code ignored; // the gateway may have closed; the test looks at what it does
+    asio::write(m_socket, asio::buffer(bytes), ignored);
+}
+
+void ScriptedConnection::answer(const SeenRequest &request, int status, const std::string &body,
+                                const std::string &extra)
+{
+    write("HTTP/1.1 " + std::to_string(status) + " X\r\nReq-Id: " + request.header("Req-Id") + "\r\nSigned: s\r\n"
+          + extra + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+void ScriptedConnection::close()
+{
+    asio::error_code ignored; // closed in any case
+    m_socket.close(ignored);
+}
+
+void ScriptedConnection::reset()
+{
+    asio::error_code ignored; // closed in any case
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    m_socket.close(ignored);
+}
+
+void ScriptedConnection::read()
+{
+    m_socket.async_read_some(asio::buffer(m_chunk), [self = shared_from_this()](auto error, std::size_t size) {
+        if (error) {
+            self->m_server.left += error != asio::error::operation_aborted ? 1 : 0;
+            return;
+        }
+        self->m_input.append(self->m_chunk.data(), size);
+        while (!self->m_input.empty()) {
+            self->m_input.erase(0, self->m_parser.feed(self->m_input));
+            if (!self->m_parser.complete()) {
+                break;
+            }
+            const SeenRequest request{self->m_parser.head(), self->m_parser.takeBody()};
+            self->m_parser.reset();
+            self->m_server.seen.push_back(request);
+            if (self->m_server.script) {
+                self->m_server.script(self, request);
+            }
+        }
+        if (self->m_socket.is_open()) {
+            self->read();
+        }
+    });
+}
+
+ScriptedServer::ScriptedServer(asio::io_context &loop)
+    : m_acceptor(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+{
+    accept();
+}
+
+std::string ScriptedServer::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+}
+
+void ScriptedServer::accept()
+{
+    m_acceptor.async_accept([this](auto error, tcp::socket socket) {
+        if (!error) {
+            ++connections;
+            std::make_shared<ScriptedConnection>(*this, std::move(socket))->read();
+            accept();
+        }
+    });
+}
+
+GatewayBed::GatewayBed(std::size_t count)
+    : address(freeAddress())
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        servers.emplace_back(loop);
+        servers.back().script = [](const auto &connection, const SeenRequest &request) {
+            connection->answer(request, 200, "ok");
+        };
+    }
+    declaration.set_version(1);
+    auto *service = declaration.add_services();
+    service->set_name("s");
+    service->set_warmup_ms(1000);
+    service->set_warmup_per_second(10);
+    for (const auto &[name, kind] : {std::pair{"safe", proto::REQUEST_SAFE},
+                                     {"unsafe", proto::REQUEST_UNSAFE},
+                                     {"download", proto::REQUEST_DOWNLOAD}}) {
+        auto *route = declaration.add_routes();
+        route->set_name(name);
+        route->set_host("h.example");
+        route->set_path_prefix(std::string("/") + name + "/");
+        route->set_kind(kind);
+        route->set_timeout_ms(2000);
+        route->set_max_attempts(2);
+        route->set_affinity(true);
+        route->add_split()->set_service("s");
+        route->mutable_split(0)->set_weight(1);
+    }
+    auto *customer = declaration.add_customers();
+    customer->set_name("cust");
+    customer->add_key_digests(sha256("key"));
+    Gateway::Options options;
+    options.names = names();
+    options.host.set_id("own");
+    options.host.set_region("r");
+    auto &settings = options.settings;
+    settings.set_largest_in_flight(100);
+    settings.set_retry_ratio(0.2);
+    settings.set_retry_window_s(10);
+    settings.set_retry_slack(100);
+    settings.set_warmup_overshoot(1);
+    settings.set_largest_shift(0.15);
+    gateway = std::make_unique<Gateway>(loop, options);
+    publish();
+    HttpServer::Options frontOptions;
+    frontOptions.address = address;
+    frontOptions.limits = [this] { return gateway->limits(); };
+    frontOptions.handle = [this](std::shared_ptr<HttpCall> call) { gateway->handle(std::move(call)); };
+    front = HttpServer::start(loop, frontOptions);
+    REQUIRE(front);
+}
+
+GatewayBed::~GatewayBed()
+{
+    front.reset();
+    gateway.reset();
+    loop.poll();
+}
+
+void GatewayBed::publish()
+{
+    proto::TableContent content;
+    content.set_revision(++m_revision);
+    *content.mutable_declaration() = declaration;
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        auto *server = content.add_servers();
+        server->set_id("s" + std::to_string(i));
+        server->set_service("s");
+        server->set_region("r");
+        server->set_availability_zone("z" + std::to_string(i));
+        server->set_address(servers[i].address());
+        server->set_slots(4);
+        server->set_revision(1);
+    }
+    for (const std::string &zone : evacuated) {
+        auto *evacuation = content.add_evacuations();
+        evacuation->set_availability_zone(zone);
+        evacuation->set_active(true);
+    }
+    auto *member = content.add_members();
+    member->set_id("own");
+    member->set_entry(true);
+    member->set_region("r");
+    member->set_http_address(address);
+    member->set_state(proto::MEMBER_LIVE);
+    gateway->setView(View::next(View(), content, true));
+}
+
+void GatewayBed::runUntil(const std::function<bool()> &done)
+{
+    const Time until = Clock::now() + patience;
+    while (!done()) {
+        REQUIRE(Clock::now() < until);
+        loop.restart();
+        loop.run_for(milliseconds(1));
+    }
+}
+
+void GatewayBed::runFor(milliseconds time)
+{
+    loop.restart();
+    loop.run_for(time);
+}
+
+std::unique_ptr<tcp::socket> GatewayBed::connect()
+{
+    auto socket = std::make_unique<tcp::socket>(loop);
+    socket->connect(*parseEndpoint(address));
+    return socket;
+}
+
+CallerAnswer GatewayBed::receive(tcp::socket &socket, bool headMethod)
+{
+    HttpParser parser(HttpParser::Kind::Response);
+    if (headMethod) {
+        parser.expectNoBody();
+    }
+    CallerAnswer answer;
+    std::array<char, 65536> chunk{};
+    bool ended = false;
+    std::function<void()> read = [&] {
+        socket.async_read_some(asio::buffer(chunk), [&](auto error, std::size_t size) {
+            if (error) {
+                ended = true;
+                return;
+            }
+            parser.feed(std::string_view(chunk.data(), size));
+            answer.body += parser.takeBody();
+            if (!parser.complete() && !parser.failed()) {
+                read();
+            }
+        });
+    };
+    read();
+    runUntil([&] { return ended || parser.complete() || parser.failed(); });
+    answer.head = parser.head();
+    answer.complete = parser.complete();
+    return answer;
+}
+
+CallerAnswer GatewayBed::call(const std::string &bytes)
+{
+    const auto socket = connect();
+    asio::write(*socket, asio::buffer(bytes));
+    return receive(*socket);
+}
+
+std::string GatewayBed::request(const std::string &kind, const std::string &id, const std::string &extra,
+                                const std::string &body)
+{
+    std::string text = (body.empty() ? "GET /" : "POST /") + kind
+        + "/x?q=1 HTTP/1.1\r\nHost: h.example\r\nReq-Id: " + id + "\r\nObject: 17\r\nLeft-Ms: 1000\r\n";
+    if (extra.find("Authorization") == std::string::npos) {
+        text += "Authorization: Bearer key\r\n";
+    }
+    if (!body.empty()) {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    return text + extra + "\r\n" + body;
+}
+
+} // namespace banyanledge
--- /dev/null
+++ b/tests/test_hostlimits.cpp
@@ -0,0 +1,178 @@
+// Each host's part of fleet-wide bounds: the sums keep the bounds.
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "decide/hostlimits.h"
+#include "decide/shares.h"
+
+using namespace banyanledge;
+
+namespace
+{
+
+const Time start = Time{} + std::chrono::hours(1);
+
+proto::Declaration declarationWith(double rate)
+{
+    proto::Declaration declaration;
+    auto *customer = declaration.add_customers();
+    customer->set_name("c");
+    customer->set_rate(rate);
+    customer->set_burst(rate);
+    return declaration;
+}
+
+// A host that reports and takes shares.
+struct FakeHost
+{
+    std::string id;
+    RateBucket bucket;
+    bool told = false;
+
+    proto::SyncRequest report(double demand, Time now) const
+    {
+        proto::SyncRequest request;
+        request.mutable_self()->set_id(id);
+        request.mutable_self()->set_incarnation(1);
+        auto *use = request.add_rates();
+        use->set_customer("c");
+        use->set_demand(demand);
+        use->set_held(told ? bucket.rate(now) : 0);
+        return request;
+    }
+};
+
+} // namespace
+
+// Retries of all hosts together must stay below the ratio and the slack of the service.
+TEST_CASE("retry shares of all hosts keep the service's bound")
+{
+    const RetryBound bound{0.2, milliseconds(10000), 56};
+    constexpr std::size_t hosts = 8;
+    std::vector<RetryShare> shares(hosts);
+    double requests = 0;
+    double retries = 0;
+    for (int i = 0; i < 900; ++i) {
+        const Time now = start + milliseconds(10 * i);
+        for (auto &share : shares) {
+            share.requested(bound, now);
+            requests += 1;
+            retries += share.take(bound, hosts, now) ? 1 : 0;
+        }
+    }
+    CHECK(retries > 0.5 * bound.ratio * requests);
+    CHECK(retries <= bound.ratio * requests + bound.slack);
+}
+
+TEST_CASE("retries are allowed again once the window has passed")
+{
+    const RetryBound bound{0.0, milliseconds(1000), 10};
+    RetryShare share;
+    while (share.take(bound, 1, start)) { }
+    CHECK_FALSE(share.allows(bound, 1, start + milliseconds(900)));
+    CHECK(share.allows(bound, 1, start + milliseconds(1001)));
+}
+
+// A cold server fails when the hosts together send more than it bears.
+TEST_CASE("parts of a cold server's rate add up to at most the rate")
+{
+    for (const double rate : {0.5, 3.0, 14.15, 29.2, 36.5}) {
+        for (const std::size_t hosts : {1, 8, 10, 71, 90}) {
+            double sum = 0;
+            for (std::size_t rank = 0; rank < hosts; ++rank) {
+                sum += coldPart(rate, hosts, rank);
+            }
+            CHECK(sum <= rate);
+            CHECK(sum > rate - 1);
+        }
+    }
+}
+
+TEST_CASE("the pace to a cold server holds in every second")
+{
+    ColdPace pace;
+    CHECK(pace.take(2, start));
+    CHECK(pace.take(2, start + milliseconds(900)));
+    CHECK_FALSE(pace.take(2, start + milliseconds(999)));
+    CHECK(pace.take(2, start + milliseconds(1000)));
+    CHECK_FALSE(pace.take(2, start + milliseconds(1899)));
+    CHECK_FALSE(pace.take(0.5, start + milliseconds(9000)));
+}
+
+TEST_CASE("a bucket keeps its rate and burst and names the next token")
+{
+    RateBucket bucket;
+    CHECK_FALSE(bucket.take(start));
+    bucket.setShare(10, 5, start);
+    int taken = 0;
+    for (int i = 0; i < 1000; ++i) {
+        taken += bucket.take(start + milliseconds(i)) ? 1 : 0;
+    }
+    CHECK(taken >= 14);
+    CHECK(taken <= 15);
+    CHECK(bucket.wait(start + milliseconds(999)) <= milliseconds(100));
+    CHECK(bucket.demand(start + milliseconds(999)) > 500);
+    // A host that hears nothing of the leader keeps only a part, because others get the rest.
+    CHECK(bucket.rate(start + shareTerm - milliseconds(1)) == 10);
+    CHECK(bucket.rate(start + shareTerm) == Approx(10 * lostShare));
+}
+
+// Reports and answers get lost and hosts fall silent in any order; what the hosts hold together is never more than
+// the rate.
+TEST_CASE("shares never add up to more than the rate")
+{
+    const bool held = rc::check("sum of shares", [] {
+        RateShares shares;
+        const auto declaration = declarationWith(100);
+        std::vector<FakeHost> hosts(5);
+        std::set<std::string> live;
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            hosts[i].id = "h" + std::to_string(i);
+            live.insert(hosts[i].id);
+        }
+        Time now = start;
+        shares.reset(now);
+        for (int step = 0; step < 200; ++step) {
+            now += milliseconds(*rc::gen::inRange(1, 400));
+            FakeHost &host = hosts[*rc::gen::inRange<std::size_t>(0, hosts.size())];
+            if (*rc::gen::inRange(0, 40) == 0) {
+                shares.reset(now); // another leader that knows nothing
+            }
+            shares.reported(host.report(*rc::gen::inRange(0, 300), now), now);
+            const auto answer = shares.sharesFor(host.id, declaration, live, now);
+            if (*rc::gen::inRange(0, 5) != 0) { // else the answer is lost
+                host.bucket.setShare(answer.front().rate(), answer.front().burst(), now);
+                host.told = true;
+            }
+            double sum = 0;
+            for (const auto &each : hosts) {
+                sum += each.told ? each.bucket.rate(now) : 0;
+            }
+            RC_ASSERT(sum <= 100 + 1e-6);
+        }
+    });
+    CHECK(held);
+}
+
+TEST_CASE("a share follows the demand")
+{
+    RateShares shares;
+    const auto declaration = declarationWith(100);
+    std::vector<FakeHost> hosts(2);
+    hosts[0].id = "a";
+    hosts[1].id = "b";
+    const std::set<std::string> live{"a", "b"};
+    Time now = start;
+    shares.reset(now);
+    for (int i = 0; i < 10; ++i) {
+        for (auto &host : hosts) {
+            now += milliseconds(200);
+            shares.reported(host.report(host.id == "a" ? 50 : 0, now), now);
+            const auto answer = shares.sharesFor(host.id, declaration, live, now);
+            host.bucket.setShare(answer.front().rate(), answer.front().burst(), now);
+            host.told = true;
+        }
+    }
+    CHECK(hosts[0].bucket.rate(now) > 70);
+    CHECK(hosts[1].bucket.rate(now) > 10);
+}
--- /dev/null
+++ b/tests/test_http.cpp
@@ -0,0 +1,105 @@
+// The HTTP parser and its helpers.
+#include <catch2/catch.hpp>
+
+#include "net/http.h"
+
+using namespace banyanledge;
+
+namespace
+{
+
+// Feeds the text in pieces of `step` bytes; returns how many bytes the message took.
+std::size_t feedAll(HttpParser &parser, const std::string &text, std::size_t step)
+{
+    std::size_t used = 0;
+    while (used < text.size() && !parser.complete() && !parser.failed()) {
+        const std::size_t taken = parser.feed(std::string_view(text).substr(used, step));
+        if (taken == 0) {
+            break;
+        }
+        used += taken;
+    }
+    return used;
+}
+
+} // namespace
+
+// A message that takes bytes of the next one would mix two requests.
+TEST_CASE("bytes after a message stay with the caller")
+{
+    const std::string first = "POST /a/b?c=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab\n";
+    const std::string next = "GET /next HTTP/1.1\r\n\r\n";
+    for (const std::size_t step : {std::size_t(1), std::size_t(7), std::size_t(1000)}) {
+        HttpParser parser(HttpParser::Kind::Request);
+        REQUIRE(feedAll(parser, first + next, step) == first.size());
+        REQUIRE(parser.complete());
+        CHECK(parser.head().method == "POST");
+        CHECK(parser.head().target == "/a/b?c=1");
+        CHECK(parser.head().length == 3);
+        CHECK(parser.takeBody() == "ab\n");
+        parser.reset();
+        CHECK(feedAll(parser, next, step) == next.size());
+        CHECK(parser.head().target == "/next");
+        CHECK(parser.head().headers.empty());
+    }
+}
+
+TEST_CASE("chunked bodies end with the last chunk")
+{
+    const std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    for (const std::size_t step : {std::size_t(1), std::size_t(1000)}) {
+        HttpParser parser(HttpParser::Kind::Response);
+        CHECK(feedAll(parser, text + "HTTP/1.1 500", step) == text.size());
+        CHECK(parser.complete());
+        CHECK(parser.takeBody() == "abcde");
+    }
+}
+
+// A cut answer that looks complete would reach a caller as a success.
+TEST_CASE("only a body without a length ends with the connection")
+{
+    HttpParser cut(HttpParser::Kind::Response);
+    cut.feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+    cut.finish();
+    CHECK_FALSE(cut.complete());
+    HttpParser open(HttpParser::Kind::Response);
+    open.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+    CHECK(open.head().untilClose);
+    CHECK_FALSE(open.complete());
+    open.finish();
+    CHECK(open.complete());
+    CHECK(open.takeBody() == "abc");
+}
+
+// Two lengths let a request hide inside another one.
+TEST_CASE("ambiguous lengths and other protocols are refused")
+{
+    for (const char *text :
+         {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", "\x16\x03\x01 nonsense\r\n\r\n"}) {
+        HttpParser parser(HttpParser::Kind::Request);
+        feedAll(parser, text, 1000);
+        CHECK(parser.failed());
+        CHECK_FALSE(parser.failure().empty());
+    }
+}
+
+TEST_CASE("headers of one connection are not passed on")
+{
+    const HttpHeaders kept = endToEndHeaders({{"Host", "h"},
+                                              {"connection", "close, X-Private"},
+                                              {"x-private", "1"},
+                                              {"Transfer-Encoding", "chunked"},
+                                              {"Content-Length", "3"},
+                                              {"X-Other", "2"}});
+    CHECK(kept == HttpHeaders{{"Host", "h"}, {"X-Other", "2"}});
+}
+
+TEST_CASE("query parameters are decoded")
+{
+    CHECK(queryParameter("/p?Name=a%2Fb&Region=north+east&x", "Name") == "a/b");
+    CHECK(queryParameter("/p?Name=a&Region=north+east&x", "Region") == "north east");
+    CHECK(queryParameter("/p?x", "x") == "");
+    CHECK_FALSE(queryParameter("/p", "x"));
+    CHECK(targetPath("/p/q?x=1") == "/p/q");
+}
--- /dev/null
+++ b/tests/test_platform.cpp
@@ -0,0 +1,139 @@
+// Decoding of the platform's bodies.
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "base/digest.h"
+#include "ledger/check.h"
+#include "platform/decode.h"
+#include "platform/names.h"
+
+using namespace banyanledge;
+using namespace banyanledge::platform;
+using Json = nlohmann::json;
+
+namespace
+{
+
+Json declarationJson()
+{
+    return Json::parse(R"({"Version":"0000000c",
+        "Routes":[{"Name":"r1","Host":"a.example","PathPrefix":"/x/","Type":"safe","TimeoutMs":1200,
+                   "TargetLatencyMs":200,"Priority":2,"Split":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],
+                   "MaxAttempts":2,"Public":false,"CacheAffinity":true,"HomeRegions":["north"]},
+                  {"Name":"r2","Host":"a.example","PathPrefix":"/y/","Type":"unsafe","TimeoutMs":1500,"Priority":1,
+                   "Service":"s2","MaxAttempts":1}],
+        "Services":[{"Name":"s1","HealthPath":"/health","MaxConnections":330,"WarmupS":3.0,"WarmupPerS":21.0},
+                    {"Name":"s2"}],
+        "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+        "Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Priority":1,"RatePerS":387,"Burst":387,"HomeRegions":[]}]})");
+}
+
+bool accepted(const Json &json)
+{
+    const auto declaration = decodeDeclaration(json.dump());
+    return declaration && !checkDeclaration(*declaration);
+}
+
+const std::map<std::string, std::string> regions{{"z1", "north"}};
+
+} // namespace
+
+TEST_CASE("a declaration is decoded whole and kept as it was sent")
+{
+    const std::string text = declarationJson().dump();
+    const auto declaration = decodeDeclaration(text);
+    REQUIRE(declaration);
+    CHECK(declaration->version() == 12);
+    CHECK(versionText(declaration->version()) == "0000000c");
+    CHECK(declaration->original() == text);
+    const auto &route = declaration->routes(0);
+    CHECK(route.kind() == proto::REQUEST_SAFE);
+    CHECK(route.split_size() == 2);
+    CHECK(route.split(0).weight() == 90);
+    CHECK(route.affinity());
+    CHECK(route.home_regions(0) == "north");
+    CHECK(declaration->routes(1).kind() == proto::REQUEST_UNSAFE);
+    CHECK(declaration->routes(1).split(0).service() == "s2");
+    CHECK(declaration->services(0).warmup_ms() == 3000);
+    CHECK(declaration->customers(0).key_digests(1) == sha256("k2"));
+    CHECK(declaration->limits().idle_timeout_ms() == 15000);
+    CHECK_FALSE(checkDeclaration(*declaration));
+}
+
+// An invalid declaration that is acknowledged would be in force.
+TEST_CASE("invalid declarations are refused")
+{
+    CHECK(accepted(declarationJson()));
+    const auto refused = [](auto change) {
+        Json json = declarationJson();
+        change(json);
+        return !accepted(json);
+    };
+    CHECK(refused([](Json &json) { json["Routes"][1]["Service"] = "unknown"; }));
+    CHECK(refused([](Json &json) { json["Routes"][1]["PathPrefix"] = "/x/"; }));
+    CHECK(refused([](Json &json) { json["Routes"][0]["Split"][0]["Weight"] = -1; }));
+    CHECK(refused([](Json &json) { json["Routes"][0]["TimeoutMs"] = 600001; }));
+    CHECK(refused([](Json &json) { json["Routes"][0]["MaxAttempts"] = 0; }));
+    CHECK(refused([](Json &json) { json["Routes"][0]["Host"] = ""; }));
+    CHECK(refused([](Json &json) { json["Routes"][0].erase("Type"); }));
+    CHECK(refused([](Json &json) { json["Version"] = "c"; }));
+    CHECK(refused([](Json &json) { json["Version"] = 12; }));
+    CHECK(refused([](Json &json) { json.erase("Services"); }));
+    CHECK(refused([](Json &json) { json["Routes"] = 3; }));
+    const std::string text = declarationJson().dump();
+    CHECK_FALSE(decodeDeclaration(text.substr(0, text.size() / 2)));
+    CHECK_FALSE(decodeDeclaration("[]"));
+    CHECK_FALSE(decodeDeclaration(""));
+}
+
+TEST_CASE("a kind of request that is unknown may run only once")
+{
+    Json json = declarationJson();
+    json["Routes"][0]["Type"] = "newer";
+    CHECK(decodeDeclaration(json.dump())->routes(0).kind() == proto::REQUEST_UNSAFE);
+}
+
+// An entry of another writer must not hide the others.
+TEST_CASE("entries of the list that can't be read name no server")
+{
+    const auto page = decodeListPage(R"({"Instances":{
+        "i-1":{"Service":"s1","Address":"10.0.0.1:80","Zone":"z1","Version":"v1","Slots":4,"State":"ready","WarmupLeftMs":5},
+        "i-2":{"Service":"s1","Address":"10.0.0.2:80","Zone":"z1","Slots":4,"State":"draining"},
+        "i-3":{"Service":"s1","Address":"10.0.0.3:80","Zone":"z1","Slots":"4","State":"ready"},
+        "i-4":{"Service":"s1","Address":"10.0.0.4:80","Zone":"z1","Slots":4,"State":"starting"},
+        "i-5":{"Service":"s1","Address":"nowhere","Zone":"z1","Slots":4,"State":"ready"},
+        "i-6":{"Service":"s1","Address":"10.0.0.6:80","Zone":"z9","Slots":4,"State":"ready"},
+        "i-7":7},"NextToken":"p-50"})",
+                                     regions);
+    REQUIRE(page);
+    CHECK(page->servers.size() == 2);
+    CHECK(page->servers.at("i-1").region() == "north");
+    CHECK(page->servers.at("i-1").warmup_left_ms() == 5);
+    CHECK_FALSE(page->servers.at("i-1").leaving());
+    CHECK(page->servers.at("i-2").leaving());
+    CHECK(page->skipped == 5);
+    CHECK(page->next == "p-50");
+    CHECK_FALSE(decodeListPage("{\"Instances\":[]}", regions));
+    CHECK_FALSE(decodeListPage("{\"Instances\":{", regions));
+}
+
+TEST_CASE("all pages are read, and a failed one leaves the list as it was")
+{
+    const std::string first =
+        R"({"Instances":{"i-1":{"Service":"s","Address":"10.0.0.1:80","Zone":"z1","Slots":4,"State":"ready"}},"NextToken":"a b"})";
+    const std::string last =
+        R"({"Instances":{"i-2":{"Service":"s","Address":"10.0.0.2:80","Zone":"z1","Slots":4,"State":"ready"}},"NextToken":null})";
+    std::vector<std::string> urls;
+    const auto fetch = [&](const std::string &url) -> std::optional<std::string> {
+        urls.push_back(url);
+        return urls.size() == 1 ? first : last;
+    };
+    const auto list = readList("127.0.0.1:1", regions, fetch);
+    REQUIRE(list);
+    CHECK(list->servers.size() == 2);
+    CHECK(urls
+          == std::vector<std::string>{"http://127.0.0.1:1/instances", "http://127.0.0.1:1/instances?PageToken=a%20b"});
+    CHECK_FALSE(readList("127.0.0.1:1", regions, [&](const std::string &url) -> std::optional<std::string> {
+        return url.find('?') == std::string::npos ? std::optional(first) : std::nullopt;
+    }));
+}
