--- a/control/host.cpp
+++ b/control/host.cpp
@@ -132,7 +132,8 @@
     if (!node) {
         return false;
     }
-    sync = std::make_unique<SyncCalls>(loop, *node);
+    const RateTolerance tolerance{settings.control().rate_overshoot(), settings.control().rate_slack()};
+    sync = std::make_unique<SyncCalls>(loop, *node, tolerance);
     loops = std::make_unique<LeaderLoops>(*node, *sync);
     services = std::make_unique<ControlServices>(loop, *node, *sync);
     node->onChange([this] { changed(); });
--- a/control/peers.cpp
+++ b/control/peers.cpp
@@ -29,6 +29,7 @@
 {
     std::string address;
     std::unique_ptr<proto::Raft::Stub> stub;
+    std::unique_ptr<proto::Raft::Stub> retired; // replaced; its last call has ended or is ending
     std::vector<proto::RaftMessage> queue;
     bool calling = false;
     grpc::ClientContext *context = nullptr; // of the outstanding call
@@ -118,7 +119,9 @@
         peer.calling = false;
         peer.context = nullptr;
         if (!ok && !stopped) {
-            peer.stub = connect(peer.address); // the connection may be silent for good
+            // The connection may be silent for good. The old stub outlives this callback of its last call.
+            peer.retired = std::move(peer.stub);
+            peer.stub = connect(peer.address);
         }
     }
     startCall(id);
--- a/control/service.cpp
+++ b/control/service.cpp
@@ -107,6 +107,17 @@
         return reactor;
     }
 
+    grpc::ServerUnaryReactor *TakeTokens(grpc::CallbackServerContext *context, const proto::TakeTokensRequest *request,
+                                         proto::TakeTokensReply *reply) override
+    {
+        auto *reactor = context->DefaultReactor();
+        asio::post(m_loop, [this, reactor, request, reply] {
+            *reply = m_sync.takeTokens(*request);
+            reactor->Finish(grpc::Status::OK);
+        });
+        return reactor;
+    }
+
     grpc::ServerUnaryReactor *Status(grpc::CallbackServerContext *context, const proto::StatusRequest *,
                                      proto::ControlStatus *reply) override
     {
--- a/control/sync.cpp
+++ b/control/sync.cpp
@@ -8,9 +8,10 @@
 namespace banyanledge
 {
 
-SyncCalls::SyncCalls(asio::io_context &loop, Node &node)
+SyncCalls::SyncCalls(asio::io_context &loop, Node &node, RateTolerance tolerance)
     : m_loop(loop)
     , m_node(node)
+    , m_tolerance(tolerance)
 {
 }
 
@@ -60,6 +61,7 @@
     callArrived(m_liveness, request);
     addLoads(m_loads, request, now);
     m_shares.reported(request, now);
+    m_serverLoads.reported(request, now);
     m_arrived.push_back(call);
     if (const auto member = memberUpdate(request, m_objects, m_liveness, now);
         member && !m_liveness.hosts[request.self().id()].ending) {
@@ -141,7 +143,8 @@
     }
     if (leads && !leading()) {
         startLeading(m_liveness, now);
-        m_shares.reset(now);
+        m_shares.reset(m_tolerance, now);
+        m_serverLoads = {};
         logInfo("this control host leads", {{"term", std::to_string(m_status.term())}});
     }
     const Revision applied = m_node.applied();
@@ -231,6 +234,7 @@
     for (const auto &share : m_shares.sharesFor(self.id(), m_objects.declaration, entryHosts, now)) {
         *reply.add_shares() = share;
     }
+    m_serverLoads.addTo(reply, now);
     for (const auto &member : m_status.config().members()) {
         reply.add_control_hosts(member.rpc_address());
     }
@@ -240,6 +244,31 @@
     call.done(reply);
 }
 
+proto::TakeTokensReply SyncCalls::takeTokens(const proto::TakeTokensRequest &request)
+{
+    const Time now = Clock::now();
+    proto::TakeTokensReply reply;
+    if (m_stopped || !leading()) {
+        reply.set_kind(proto::ERROR_UNAVAILABLE);
+        reply.set_message("this control host does not lead; call leader_address");
+        reply.set_leader_address(m_status.leader_address());
+        return reply;
+    }
+    for (const auto &want : request.wants()) {
+        for (const auto &customer : m_objects.declaration.customers()) {
+            if (customer.name() == want.customer()) {
+                const double granted = m_shares.take(customer, want.amount(), now);
+                if (granted > 0) {
+                    auto *added = reply.add_granted();
+                    added->set_customer(want.customer());
+                    added->set_amount(granted);
+                }
+            }
+        }
+    }
+    return reply;
+}
+
 void SyncCalls::refuse(const Call &call, proto::ErrorKind kind, const std::string &message)
 {
     proto::SyncReply reply;
--- a/control/sync.h
+++ b/control/sync.h
@@ -12,6 +12,7 @@
 #include "control/loads.h"
 #include "control/members.h"
 #include "control/objects.h"
+#include "control/serverloads.h"
 #include "decide/shares.h"
 #include "ledger/node.h"
 
@@ -27,11 +28,14 @@
 public:
     using Done = std::function<void(const proto::SyncReply &)>;
 
-    SyncCalls(asio::io_context &loop, Node &node);
+    SyncCalls(asio::io_context &loop, Node &node, RateTolerance tolerance = {});
 
     // Takes a call and answers it later through `done`.
     void add(const proto::SyncRequest &request, Done done);
 
+    // Takes tokens from the pools of customers' rates.
+    proto::TakeTokensReply takeTokens(const proto::TakeTokensRequest &request);
+
     // Follows role and table; called on each change of the node and on each tick.
     void refresh(Time now);
 
@@ -84,7 +88,9 @@
     Objects m_objects;
     Liveness m_liveness;
     FleetLoads m_loads;
+    const RateTolerance m_tolerance;
     RateShares m_shares;
+    ServerLoads m_serverLoads;
     std::map<Revision, proto::SyncReply> m_content; // replies by known revision, for one table revision
     Revision m_contentRevision = 0;
 };
--- a/decide/hostlimits.cpp
+++ b/decide/hostlimits.cpp
@@ -90,7 +90,7 @@
 void RateBucket::refill(Time now)
 {
     if (m_filled != Time{} && now > m_filled) {
-        m_tokens = std::min(m_burst, m_tokens + rate(now) * seconds(now - m_filled));
+        m_tokens = std::min(burst(now), m_tokens + rate(now) * seconds(now - m_filled));
     }
     m_filled = now;
 }
@@ -102,14 +102,35 @@
         m_tokens = burst;
     }
     m_rate = rate;
-    m_burst = std::max(burst, 1.0);
+    m_burst = burst;
     m_tokens = std::min(m_tokens, m_burst);
     m_told = now;
 }
 
 double RateBucket::rate(Time now) const
 {
-    return now < m_told + shareTerm ? m_rate : m_rate * lostShare;
+    const double held = now < m_told + shareTerm ? m_rate : m_rate * lostShare;
+    return leaderSilent(now) ? std::max(held, m_fallback) : held;
+}
+
+bool RateBucket::leaderSilent(Time now) const
+{
+    return now >= m_told + leaderSilence;
+}
+
+double RateBucket::burst(Time now) const
+{
+    return leaderSilent(now) && m_fallback > 0 ? std::max(m_burst, 1.0) : m_burst;
+}
+
+double RateBucket::share() const
+{
+    return m_rate;
+}
+
+void RateBucket::setFallback(double rate)
+{
+    m_fallback = rate;
 }
 
 bool RateBucket::take(Time now)
@@ -127,7 +148,7 @@
 
 void RateBucket::giveBack()
 {
-    m_tokens = std::min(m_burst, m_tokens + 1);
+    m_tokens = std::min(std::max(m_burst, m_tokens), m_tokens + 1);
 }
 
 double RateBucket::demand(Time now) const
--- a/decide/hostlimits.h
+++ b/decide/hostlimits.h
@@ -75,10 +75,17 @@
     // Gives a token back for a request that no server ran.
     void giveBack();
 
+    // Rate, with a burst of one, that this host may use while the leader is silent, for customers whose rate is pooled
+    // at the leader.
+    void setFallback(double rate);
+
     // Arrivals per second, averaged over about a second.
     double demand(Time now) const;
 
-    // Rate of the share, lowered to lostShare of it when the leader has been silent for shareTerm.
+    // The share that the host was told.
+    double share() const;
+
+    // Rate in use: the share, lowered to lostShare of it when the leader has been silent for shareTerm.
     double rate(Time now) const;
 
     // Time until the next token.
@@ -87,7 +94,11 @@
 private:
     void refill(Time now);
 
+    bool leaderSilent(Time now) const;
+    double burst(Time now) const;
+
     double m_rate = 0;
+    double m_fallback = 0;
     double m_burst = 0;
     double m_tokens = 0;
     Time m_filled{};
@@ -101,4 +112,7 @@
 constexpr milliseconds shareTerm{8000};
 constexpr double lostShare = 0.25;
 
+// Silence of the leader after which hosts use their fallback rates.
+constexpr milliseconds leaderSilence{1500};
+
 } // namespace banyanledge
--- a/decide/placement.cpp
+++ b/decide/placement.cpp
@@ -13,7 +13,10 @@
 {
 
 // Reports lose their weight within this time.
-constexpr milliseconds reportLifetime{1500};
+constexpr milliseconds reportLifetime{1000};
+
+// Sums of the other hosts' requests are used for this long.
+constexpr milliseconds othersLifetime{1500};
 
 // Failures in a row after which a server gets only single requests.
 constexpr unsigned ejectAfter = 3;
@@ -35,14 +38,15 @@
 
 double estimatedLoad(const ServerState &state, Time now)
 {
-    const double own = state.inFlight;
+    const bool told = state.othersAt != Time{} && now < state.othersAt + othersLifetime;
+    const double own = state.inFlight + (told ? state.others : 0);
     const double age = state.reportedAt == Time{}
         ? 1
         : std::chrono::duration<double>(now - state.reportedAt) / std::chrono::duration<double>(reportLifetime);
     if (age >= 1) {
         return own;
     }
-    const double since = state.reported + own - state.inFlightAtReport;
+    const double since = state.reported + state.inFlight - state.inFlightAtReport;
     return std::max(own, own + (since - own) * (1 - age));
 }
 
--- a/decide/placement.h
+++ b/decide/placement.h
@@ -20,6 +20,8 @@
     double reported = 0; // requests running and waiting at the server, at the last report
     double inFlightAtReport = 0; // of this host at that time
     Time reportedAt{};
+    double others = 0; // requests of other hosts in flight, as last told by the leader
+    Time othersAt{};
     unsigned failures = 0; // in a row
     Time ejectedUntil{};
     Time coldUntil{};
--- a/decide/shares.cpp
+++ b/decide/shares.cpp
@@ -1,6 +1,7 @@
 #include "decide/shares.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace banyanledge
 {
@@ -8,93 +9,139 @@
 namespace
 {
 
-// Part of a customer's rate that is given out by demand; the rest is a reserve for hosts that join.
-constexpr double givenPart = 0.92;
+// Part of a customer's rate that the hosts hold as shares; the rest is the leader's pool.
+constexpr double sharedPart = 0.75;
 
-// Part of the given rate that is divided evenly, so that a host has some before its first callers arrive.
-constexpr double evenPart = 0.3;
+// Part of the shares that is divided evenly, so that a host has some before its first callers arrive.
+constexpr double evenPart = 0.25;
 
-// Part of the burst that is given out. Changes of shares may add tokens beyond the strict bound, up to this reserve.
-constexpr double burstPart = 0.5;
+// Parts of the burst for shares and pool. The rest covers tokens that change hands and hosts that lost the leader.
+constexpr double sharedBurst = 0.4;
+constexpr double pooledBurst = 0.2;
+
+// Part of the slack that the pool uses.
+constexpr double usedSlack = 0.5;
+
+// Smallest burst of one host's share; below it, a share would refuse two requests that arrive together.
+constexpr double smallestShareBurst = 2;
+
+// Time between sums over all hosts; in between the sums are kept up by differences.
+constexpr milliseconds sumInterval{250};
 
 } // namespace
 
-void RateShares::reset(Time now)
+RatePlan ratePlan(const proto::DeclaredCustomer &customer, std::size_t hosts, const RateTolerance &tolerance)
+{
+    RatePlan plan;
+    plan.poolRate = customer.rate() * (1 + tolerance.overshoot);
+    plan.poolBurst = customer.burst() * (sharedBurst + pooledBurst) + tolerance.slack * usedSlack;
+    const double count = static_cast<double>(std::max<std::size_t>(hosts, 1));
+    if (customer.burst() * sharedBurst / count >= smallestShareBurst) {
+        plan.shareRate = customer.rate() * sharedPart;
+        plan.shareBurst = customer.burst() * sharedBurst;
+        plan.poolRate -= plan.shareRate;
+        plan.poolBurst -= plan.shareBurst;
+    }
+    plan.poolBurst = std::max(plan.poolBurst, 1.0);
+    return plan;
+}
+
+void RateShares::reset(const RateTolerance &tolerance, Time now)
 {
-    m_holders.clear();
+    *this = RateShares();
+    m_tolerance = tolerance;
     m_since = now;
 }
 
 void RateShares::reported(const proto::SyncRequest &request, Time now)
 {
     Holder &holder = m_holders[request.self().id()];
-    holder.incarnation = request.self().incarnation();
     holder.heard = now;
-    holder.held.clear();
-    holder.demand.clear();
+    std::unordered_map<std::string, Use> uses;
     for (const auto &use : request.rates()) {
-        holder.held[use.customer()] = use.held();
-        holder.demand[use.customer()] = use.demand();
+        uses[use.customer()] = {use.held(), use.demand()};
+    }
+    for (const auto &[customer, use] : holder.uses) {
+        Use &sum = m_sums[customer];
+        sum.held -= use.held;
+        sum.demand -= use.demand;
     }
+    for (const auto &[customer, use] : uses) {
+        Use &sum = m_sums[customer];
+        sum.held += use.held;
+        sum.demand += use.demand;
+    }
+    holder.uses = std::move(uses);
 }
 
-double RateShares::heldBy(const std::string &host, const std::string &customer, Time now) const
+// Sums up what the hosts hold; a host that has been silent for shareTerm counts with lostShare, and one that has been
+// silent for twice as long and is not live is forgotten.
+void RateShares::sumUp(const std::set<std::string> &hosts, Time now)
 {
-    const auto holder = m_holders.find(host);
-    if (holder == m_holders.end()) {
-        return 0;
+    std::erase_if(m_holders, [&](const auto &entry) {
+        return !hosts.contains(entry.first) && now >= entry.second.heard + 2 * shareTerm;
+    });
+    m_sums.clear();
+    for (const auto &[name, holder] : m_holders) {
+        const double part = now < holder.heard + shareTerm ? 1 : lostShare;
+        for (const auto &[customer, use] : holder.uses) {
+            Use &sum = m_sums[customer];
+            sum.held += use.held * part;
+            sum.demand += part < 1 ? 0 : use.demand;
+        }
     }
-    const auto held = holder->second.held.find(customer);
-    const double value = held == holder->second.held.end() ? 0 : held->second;
-    return now < holder->second.heard + shareTerm ? value : value * lostShare;
+    const auto heard = [this](const auto &name) { return m_holders.contains(name); };
+    m_allHeard = now >= m_since + shareTerm || std::all_of(hosts.begin(), hosts.end(), heard);
+    const auto unheard = std::count_if(hosts.begin(), hosts.end(), [&heard](const auto &name) { return !heard(name); });
+    m_hosts = std::max<std::size_t>(1, m_holders.size() + static_cast<std::size_t>(unheard));
+    m_summed = now;
 }
 
 std::vector<proto::RateShare> RateShares::sharesFor(const std::string &host, const proto::Declaration &declaration,
                                                     const std::set<std::string> &hosts, Time now)
 {
-    std::vector<proto::RateShare> shares;
-    std::set<std::string> all = hosts;
-    all.insert(host);
-    for (const auto &[name, holder] : m_holders) {
-        if (now < holder.heard + 2 * shareTerm) {
-            all.insert(name); // may be cut off and still serve
-        }
+    if (m_summed == Time{} || now >= m_summed + sumInterval || !m_allHeard) {
+        sumUp(hosts, now);
     }
-    const auto count = static_cast<double>(all.size());
-    const bool allHeard = now >= m_since + shareTerm
-        || std::all_of(all.begin(), all.end(), [this](const auto &name) { return m_holders.contains(name); });
+    std::vector<proto::RateShare> shares;
     Holder &own = m_holders[host];
     for (const auto &customer : declaration.customers()) {
         if (customer.rate() <= 0) {
             continue;
         }
-        const double given = customer.rate() * givenPart;
-        double demand = 0;
-        double others = 0;
-        for (const auto &name : all) {
-            const auto holder = m_holders.find(name);
-            if (holder != m_holders.end()) {
-                const auto found = holder->second.demand.find(customer.name());
-                demand += found == holder->second.demand.end() ? 0 : found->second;
-            }
-            if (name != host) {
-                others += heldBy(name, customer.name(), now);
-            }
-        }
-        const double ownDemand = own.demand.contains(customer.name()) ? own.demand[customer.name()] : 0;
-        const double byDemand = demand > 0 ? ownDemand / demand : 1 / count;
-        const double wanted = given * (evenPart / count + (1 - evenPart) * byDemand);
-        double &held = own.held[customer.name()];
-        const double most = allHeard ? customer.rate() - others : std::min(held, customer.rate());
+        const RatePlan plan = ratePlan(customer, m_hosts, m_tolerance);
+        Use &use = own.uses[customer.name()];
+        Use &sum = m_sums[customer.name()];
+        const double even = 1.0 / static_cast<double>(m_hosts);
+        const double byDemand = sum.demand > 0 ? std::max(0.0, use.demand) / sum.demand : even;
+        const double wanted = plan.shareRate * (evenPart * even + (1 - evenPart) * std::min(1.0, byDemand));
+        const double most = m_allHeard ? plan.shareRate - (sum.held - use.held) : std::min(use.held, plan.shareRate);
         proto::RateShare share;
         share.set_customer(customer.name());
         share.set_rate(std::max(0.0, std::min(wanted, most)));
-        share.set_burst(customer.burst() * burstPart * share.rate() / customer.rate());
+        share.set_burst(plan.shareRate > 0 ? plan.shareBurst * share.rate() / plan.shareRate : 0);
         // Until the host reports again it may hold the larger of the old and the new share.
-        held = std::max(held, share.rate());
+        const double raised = std::max(use.held, share.rate());
+        sum.held += raised - use.held;
+        use.held = raised;
         shares.push_back(share);
     }
     return shares;
 }
 
+double RateShares::take(const proto::DeclaredCustomer &customer, double want, Time now)
+{
+    const RatePlan plan = ratePlan(customer, m_hosts, m_tolerance);
+    Pool &pool = m_pools[customer.name()];
+    if (pool.filled == Time{}) {
+        pool.filled = m_since;
+    }
+    const double age = std::chrono::duration<double>(now - pool.filled).count();
+    pool.tokens = std::min(plan.poolBurst, pool.tokens + plan.poolRate * std::max(0.0, age));
+    pool.filled = now;
+    const double granted = std::min(std::floor(pool.tokens), std::ceil(want));
+    pool.tokens -= granted;
+    return granted;
+}
+
 } // namespace banyanledge
--- a/fleet/follower.cpp
+++ b/fleet/follower.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <deque>
 #include <mutex>
 #include <thread>
 
@@ -30,6 +31,9 @@
 // Pause before another control host is asked after a failure.
 constexpr milliseconds switchDelay{20};
 
+// Replaced channels that are kept for their calls.
+constexpr std::size_t keptChannels = 16;
+
 // Time after which an unanswered proposal is sent again, to the leader known then.
 constexpr milliseconds proposeTimeout{1000};
 
@@ -108,6 +112,7 @@
     std::shared_ptr<SyncCall> startCall();
     void finishCall(SyncCall &call);
     bool apply(const SyncCall &call);
+    void retireChannel(const std::string &address);
     void logSync(const SyncCall &failed);
     void follow(const std::string &failed, const std::string &hint);
     std::unique_ptr<proto::Control::Stub> stubFor(const std::string &address);
@@ -136,6 +141,7 @@
     int proposalsOutstanding = 0;
     bool lost = false; // the last call failed; used on the follower's thread only
     std::map<std::string, std::shared_ptr<grpc::Channel>> channels;
+    std::deque<std::shared_ptr<grpc::Channel>> retired; // may have calls under way
 
     std::atomic<std::shared_ptr<const View>> view{std::make_shared<const View>()};
     std::atomic<Time> freshUntil{Time::min()};
@@ -258,6 +264,37 @@
     d->attempt(proposal);
 }
 
+void Follower::takeTokens(const proto::TakeTokensRequest &request, milliseconds longest,
+                          std::function<void(const proto::TakeTokensReply &)> done)
+{
+    struct Call
+    {
+        grpc::ClientContext context;
+        proto::TakeTokensRequest request;
+        proto::TakeTokensReply reply;
+    };
+    const auto call = std::make_shared<Call>();
+    call->request = request;
+    call->context.set_deadline(wallDeadline(longest));
+    std::string address;
+    {
+        const std::lock_guard lock(d->mutex);
+        address = d->target;
+        ++d->proposalsOutstanding;
+    }
+    d->stubFor(address)->async()->TakeTokens(&call->context, &call->request, &call->reply,
+                                             [priv = d.get(), call, done](const grpc::Status &status) {
+                                                 if (!status.ok()) {
+                                                     call->reply.set_kind(proto::ERROR_UNAVAILABLE);
+                                                     call->reply.set_message(status.error_message());
+                                                 }
+                                                 done(call->reply);
+                                                 const std::lock_guard lock(priv->mutex);
+                                                 --priv->proposalsOutstanding;
+                                                 priv->wake.notify_all();
+                                             });
+}
+
 bool Follower::Private::isFresh(Time now) const
 {
     return now < freshUntil.load();
@@ -395,7 +432,7 @@
             if (!finished.status.ok()) {
                 // The connection may be silent for good; the next call opens another one.
                 const std::lock_guard lock(mutex);
-                channels.erase(finished.address);
+                retireChannel(finished.address);
             }
             follow(finished.address, finished.reply.leader_address());
         }
@@ -411,6 +448,19 @@
     }
 }
 
+// Needs the mutex. A channel must outlive its calls, and none of them lasts as long as `keptChannels` replacements.
+void Follower::Private::retireChannel(const std::string &address)
+{
+    const auto found = channels.find(address);
+    if (found != channels.end()) {
+        retired.push_back(std::move(found->second));
+        channels.erase(found);
+    }
+    if (retired.size() > keptChannels) {
+        retired.pop_front();
+    }
+}
+
 // One line for each lost leader, not for each failed call.
 void Follower::Private::logSync(const SyncCall &failed)
 {
@@ -437,8 +487,8 @@
         }
         view = next;
     }
-    if (options.takeShares) {
-        options.takeShares({reply.shares().begin(), reply.shares().end()});
+    if (options.takeAnswer) {
+        options.takeAnswer(finished.request, reply);
     }
     std::vector<std::function<void(const std::shared_ptr<const View> &)>> toCall;
     {
--- a/fleet/follower.h
+++ b/fleet/follower.h
@@ -23,8 +23,8 @@
         proto::Member self; // with this run's incarnation
         std::vector<std::string> controlHosts; // gRPC addresses
         std::function<void(proto::SyncRequest &)> addReport; // adds the loads of owned pools and links
-        // Takes this host's shares of customers' rates, before a new copy of the table; may be empty.
-        std::function<void(const std::vector<proto::RateShare> &)> takeShares;
+        // Takes shares and loads of an answer, before a new copy of the table; may be empty.
+        std::function<void(const proto::SyncRequest &, const proto::SyncReply &)> takeAnswer;
     };
 
     explicit Follower(Options options);
@@ -61,6 +61,11 @@
     // Loads of busy entry hosts by id, 0 to 1, as last told by the leader; hosts that are missing count as idle.
     std::map<std::string, double> hostLoads() const;
 
+    // Asks the leader once for tokens of customers' rates. `done` gets ERROR_UNAVAILABLE when it did not answer in
+    // time; it runs on another thread.
+    void takeTokens(const proto::TakeTokensRequest &request, milliseconds longest,
+                    std::function<void(const proto::TakeTokensReply &)> done);
+
     // Sends a command to the leader, again with the same change id until the deadline. `done` gets ERROR_TIMEOUT when
     // the outcome is unknown.
     void propose(const proto::Command &command, Time deadline, std::function<void(const proto::CommandResult &)> done);
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -111,6 +111,34 @@
     if (m_done) {
         return;
     }
+    if (m_customer == nullptr || m_customer->rate() <= 0) {
+        begin();
+        return;
+    }
+    m_tokenTaken = m_state.buckets[m_customer->name()].take(Clock::now());
+    if (m_tokenTaken) {
+        begin();
+    } else {
+        m_state.requestToken(m_customer->name(), [self = shared_from_this()](bool granted) { self->onToken(granted); });
+    }
+}
+
+void ForwardedRequest::onToken(bool granted)
+{
+    if (m_done) {
+        return;
+    }
+    m_tokenTaken = granted;
+    if (granted) {
+        begin();
+        return;
+    }
+    const RateBucket &bucket = m_state.buckets[m_customer->name()];
+    refuse(429, "the customer is beyond its rate", std::max<Duration>(bucket.wait(Clock::now()), comeBackFull));
+}
+
+void ForwardedRequest::begin()
+{
     m_timer.expires_at(m_limit + answerGrace);
     m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
         if (!error) {
@@ -157,14 +185,6 @@
         refuse(503, "this host handles as many requests as it may", comeBackFull);
         return false;
     }
-    if (m_customer != nullptr && m_customer->rate() > 0) {
-        RateBucket &bucket = m_state.buckets[m_customer->name()];
-        m_tokenTaken = bucket.take(now);
-        if (!m_tokenTaken) {
-            refuse(429, "the customer is beyond its rate", std::max<Duration>(bucket.wait(now), comeBackFull));
-            return false;
-        }
-    }
     return true;
 }
 
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -42,6 +42,8 @@
 
     bool admit();
     bool authenticate();
+    void begin();
+    void onToken(bool granted);
     void chooseRegions();
     void attempt();
     void send(const Target &target);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -34,12 +34,13 @@
     d->setView(view, Clock::now());
 }
 
-void Gateway::setShares(const std::vector<proto::RateShare> &shares)
+void Gateway::takeAnswer(const proto::SyncRequest &request, const proto::SyncReply &reply)
 {
     const Time now = Clock::now();
-    for (const auto &share : shares) {
+    for (const auto &share : reply.shares()) {
         d->buckets[share.customer()].setShare(share.rate(), share.burst(), now);
     }
+    d->noteFleetLoads(request, reply, now);
 }
 
 void Gateway::report(proto::SyncRequest &request) const
@@ -49,7 +50,14 @@
         auto *use = request.add_rates();
         use->set_customer(customer);
         use->set_demand(bucket.demand(now));
-        use->set_held(bucket.rate(now));
+        use->set_held(bucket.share());
+    }
+    for (const auto &[id, state] : d->servers) {
+        if (state.inFlight > 0) {
+            auto *load = request.add_servers();
+            load->set_server(shortHash(id));
+            load->set_in_flight(state.inFlight);
+        }
     }
 }
 
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -23,6 +24,9 @@
         proto::HostSettings host;
         proto::GatewaySettings settings;
         WireNames names;
+        // Asks the leader for tokens; the answer has to reach `done` on the loop's thread.
+        std::function<void(const proto::TakeTokensRequest &, std::function<void(const proto::TakeTokensReply &)>)>
+            takeTokens;
     };
 
     Gateway(asio::io_context &loop, Options options);
@@ -33,10 +37,10 @@
     // Takes a new copy of the table.
     void setView(std::shared_ptr<const View> view);
 
-    // Takes this host's shares of customers' rates.
-    void setShares(const std::vector<proto::RateShare> &shares);
+    // Takes this host's shares of customers' rates and the loads of servers from an answer to a report.
+    void takeAnswer(const proto::SyncRequest &request, const proto::SyncReply &reply);
 
-    // Adds demand and held shares to a Sync call.
+    // Adds demand, held shares and requests in flight to a Sync call.
     void report(proto::SyncRequest &request) const;
 
     void handle(std::shared_ptr<HttpCall> call);
--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -21,6 +21,9 @@
 // Time between copies of demand and shares for the next Sync call.
 constexpr milliseconds reportInterval{100};
 
+// Longest wait for tokens of the leader; a request that waits longer is refused.
+constexpr milliseconds tokenTimeout{250};
+
 // Time between looks at the requests in flight during a graceful shutdown.
 constexpr milliseconds drainInterval{20};
 
@@ -52,12 +55,18 @@
 public:
     explicit Private(Options given)
         : options(std::move(given))
-        , gateway(loop, {options.settings.host(), options.settings.gateway(), options.names})
+        , gateway(loop,
+                  {options.settings.host(), options.settings.gateway(), options.names,
+                   [this](const proto::TakeTokensRequest &request, auto done) {
+                       follower.takeTokens(request, tokenTimeout, [this, done](const auto &reply) {
+                           asio::post(loop, [done, reply] { done(reply); });
+                       });
+                   }})
         , follower({memberOf(options.settings),
                     withPort(options.settings.entry().control_hosts(), options.settings.entry().control_rpc_port()),
                     [this](proto::SyncRequest &request) { addReport(request); },
-                    [this](const std::vector<proto::RateShare> &shares) {
-                        asio::post(loop, [this, shares] { gateway.setShares(shares); });
+                    [this](const proto::SyncRequest &request, const proto::SyncReply &reply) {
+                        asio::post(loop, [this, request, reply] { gateway.takeAnswer(request, reply); });
                     }})
     {
     }
@@ -101,6 +110,7 @@
 {
     const std::lock_guard lock(reportMutex);
     *request.mutable_rates() = lastReport.rates();
+    *request.mutable_servers() = lastReport.servers();
     request.set_host_load(lastReport.host_load());
 }
 
--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -1,7 +1,9 @@
 #include "gateway/state.h"
 
 #include <algorithm>
+#include <unordered_map>
 
+#include "base/error.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "decide/hash.h"
@@ -28,6 +30,9 @@
 // Overflow that is saved for a moment of many requests.
 constexpr double overflowBurst = 4;
 
+// Part of a pooled customer's rate that the hosts use together while the leader is silent.
+constexpr double fallbackPart = 0.4;
+
 // Window of the bound on shifts between regions.
 constexpr double shiftWindowSeconds = 2;
 
@@ -59,6 +64,73 @@
                  {"revision", std::to_string(view->revision())}});
     }
     noteServers(now);
+    for (const auto &customer : view->declaration().customers()) {
+        const bool pooled = buckets[customer.name()].share() <= 0;
+        const double part =
+            customer.rate() * fallbackPart / static_cast<double>(std::max<std::size_t>(1, routing->hosts().size()));
+        buckets[customer.name()].setFallback(pooled ? part : 0);
+    }
+}
+
+void GatewayState::noteFleetLoads(const proto::SyncRequest &request, const proto::SyncReply &reply, Time now)
+{
+    std::unordered_map<std::uint32_t, std::uint32_t> others;
+    for (const auto &load : reply.servers()) {
+        others[load.server()] = load.in_flight();
+    }
+    for (const auto &load : request.servers()) {
+        auto &sum = others[load.server()];
+        sum -= std::min(sum, load.in_flight());
+    }
+    for (auto &[id, state] : servers) {
+        const auto found = others.find(shortHash(id));
+        state.others = found == others.end() ? 0 : found->second;
+        state.othersAt = now;
+    }
+}
+
+void GatewayState::requestToken(const std::string &customer, std::function<void(bool)> done)
+{
+    m_tokenWaiters[customer].push_back(std::move(done));
+    askForTokens();
+}
+
+// One call at a time: requests that meet an empty share meanwhile go into the next one together.
+void GatewayState::askForTokens()
+{
+    if (!m_tokenAsked.empty() || m_tokenWaiters.empty()) {
+        return;
+    }
+    m_tokenAsked = std::exchange(m_tokenWaiters, {});
+    proto::TakeTokensRequest request;
+    request.set_host(options.host.id());
+    for (const auto &[customer, waiters] : m_tokenAsked) {
+        auto *want = request.add_wants();
+        want->set_customer(customer);
+        want->set_amount(static_cast<double>(waiters.size()));
+    }
+    options.takeTokens(request, [this](const proto::TakeTokensReply &reply) { takeTokenReply(reply); });
+}
+
+void GatewayState::takeTokenReply(const proto::TakeTokensReply &reply)
+{
+    const auto asked = std::exchange(m_tokenAsked, {});
+    std::map<std::string, double> granted;
+    for (const auto &amount : reply.granted()) {
+        granted[amount.customer()] += amount.amount();
+    }
+    if (reply.kind() != proto::ERROR_NONE) {
+        countMetric("banyanledge_gateway_token_calls_failed_total", {{"kind", kindName(reply.kind())}});
+    }
+    for (const auto &[customer, waiters] : asked) {
+        double &left = granted[customer];
+        for (const auto &done : waiters) {
+            const bool has = left >= 1;
+            left -= has ? 1 : 0;
+            done(has);
+        }
+    }
+    askForTokens();
 }
 
 void GatewayState::noteServers(Time now)
@@ -104,6 +176,11 @@
     });
 }
 
+std::uint32_t shortHash(const std::string &server)
+{
+    return static_cast<std::uint32_t>(hashText(server));
+}
+
 std::string GatewayState::nextService(const proto::DeclaredRoute &route)
 {
     if (route.split_size() == 1) {
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -1,6 +1,7 @@
 // What the gateway of one host knows and counts, shared by its requests. Used on the loop's thread only.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -32,6 +33,9 @@
     double overflow = 0; // requests that may leave a full region at once
 };
 
+// Short form of a server's id in reports of loads.
+std::uint32_t shortHash(const std::string &server);
+
 // Where a request may run.
 struct Target
 {
@@ -51,6 +55,12 @@
 
     RetryBound retryBound() const;
 
+    // Takes the sums of all hosts' requests in flight; `request` is this host's report that they include.
+    void noteFleetLoads(const proto::SyncRequest &request, const proto::SyncReply &reply, Time now);
+
+    // Asks the leader for a token of a customer's rate; calls back once, later.
+    void requestToken(const std::string &customer, std::function<void(bool)> done);
+
     struct Search
     {
         const RoutedService *service = nullptr;
@@ -74,12 +84,16 @@
     std::size_t inFlight = 0;
 
 private:
+    void askForTokens();
+    void takeTokenReply(const proto::TakeTokensReply &reply);
     void noteServers(Time now);
     std::vector<Candidate> candidates(const RoutedService &service, const std::string &region, Time now);
     double coldRate(const RoutedService &service, const RoutedServer &server) const;
     void updateSpillOf(const RoutedService &service, ServiceState &state, Time now);
     double regionLoad(const RoutedService &service, bool home, Time now);
 
+    std::map<std::string, std::vector<std::function<void(bool)>>> m_tokenWaiters; // by customer, not asked for yet
+    std::map<std::string, std::vector<std::function<void(bool)>>> m_tokenAsked; // by customer, of the call under way
     std::map<std::string, std::string> m_stamps; // of servers, as last seen
 };
 
--- a/tests/gateway_bed.cpp
+++ b/tests/gateway_bed.cpp
@@ -1,6 +1,7 @@
 #include "gateway_bed.h"
 
 #include <asio/connect.hpp>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
@@ -175,6 +176,7 @@
     settings.set_retry_slack(100);
     settings.set_warmup_overshoot(1);
     settings.set_largest_shift(0.15);
+    options.takeTokens = [this](const auto &, auto done) { asio::post(loop, [done] { done({}); }); };
     gateway = std::make_unique<Gateway>(loop, options);
     publish();
     HttpServer::Options frontOptions;
