--- a/apps/banyanledged.cpp
+++ b/apps/banyanledged.cpp
@@ -340,5 +340,7 @@
     }
     setInvariantsFatal(settings->host().fatal_invariants());
     blockSignals();
-    return run(*settings, arguments.config);
+    const int code = run(*settings, arguments.config);
+    stopLog();
+    return code;
 }
--- a/base/metrics.cpp
+++ b/base/metrics.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/invariant.h"
+#include "base/log.h"
 
 namespace banyanledge
 {
@@ -66,6 +67,7 @@
     for (const auto &[name, count] : brokenInvariants()) {
         setMetric("banyanledge_invariants_broken", {{"name", name}}, static_cast<double>(count));
     }
+    setMetric("banyanledge_log_lines_dropped", {}, static_cast<double>(droppedLogLines()));
     return prometheus::TextSerializer().Serialize(metricsRegistry().Collect());
 }
 
--- a/decide/placement.cpp
+++ b/decide/placement.cpp
@@ -57,23 +57,26 @@
     state.reportedAt = now;
 }
 
-void noteSuccess(ServerState &state, milliseconds warmup, Time now)
+bool noteSuccess(ServerState &state, milliseconds warmup, Time now)
 {
     // A server that failed for long was probably started anew and is cold.
     if (state.failures > ejectAfter) {
         state.coldUntil = std::max(state.coldUntil, now + warmup);
     }
+    const bool back = state.failures >= ejectAfter;
     state.failures = 0;
     state.ejectedUntil = {};
+    return back;
 }
 
-void noteFailure(ServerState &state, Time now)
+bool noteFailure(ServerState &state, Time now)
 {
     ++state.failures;
     if (state.failures >= ejectAfter) {
         const auto doubled = firstEjection * (1 << std::min(state.failures - ejectAfter, 4U));
         state.ejectedUntil = now + std::min<Duration>(doubled, longestEjection);
     }
+    return state.failures == ejectAfter;
 }
 
 void noteRefusal(ServerState &state, Time now)
--- a/decide/placement.h
+++ b/decide/placement.h
@@ -64,9 +64,9 @@
 void noteReport(ServerState &state, double requests, Time now);
 
 // Takes outcomes of requests. A failure is a lost connection, a timeout or a 5xx that the server did not mean as a
-// refusal.
-void noteSuccess(ServerState &state, milliseconds warmup, Time now);
-void noteFailure(ServerState &state, Time now);
+// refusal. The results tell whether the server has just been ejected or has come back.
+bool noteSuccess(ServerState &state, milliseconds warmup, Time now);
+bool noteFailure(ServerState &state, Time now);
 void noteRefusal(ServerState &state, Time now);
 
 // Whether the server takes ordinary requests at this time.
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -361,24 +361,22 @@
     endAttempt();
     Attempt attempt = std::move(*m_attempt);
     m_attempt.reset();
-    ServerState &server = *attempt.target.state;
-    const milliseconds warmup(m_service->declared->warmup_ms());
     observeMetric("banyanledge_gateway_attempt_seconds", {{"service", m_serviceName}},
                   std::chrono::duration<double>(now - attempt.begun).count());
     if (end == AttemptEnd::Answered && attempt.refused) {
-        noteRefusal(server, now);
+        noteRefusal(*attempt.target.state, now);
         repeatOrGiveUp(false, "server " + attempt.target.server->id + " refused");
         return;
     }
     if (end == AttemptEnd::NotSent) {
-        noteFailure(server, now);
+        serverFailed(attempt.target, reason, now);
         m_state.upstream.forget(attempt.target.server->id);
         repeatOrGiveUp(false, "server " + attempt.target.server->id + ": " + reason);
         return;
     }
     ++m_ran;
     if (end == AttemptEnd::NoAnswer) {
-        noteFailure(server, now);
+        serverFailed(attempt.target, reason, now);
         if (m_committed) {
             m_call->abort();
             finish(0, "server " + attempt.target.server->id + ": " + reason);
@@ -389,7 +387,7 @@
         return;
     }
     if (attempt.failed) {
-        noteFailure(server, now);
+        serverFailed(attempt.target, "status " + std::to_string(attempt.head.status), now);
         const bool own = findHeader(attempt.head.headers, m_state.options.names.signature) != nullptr;
         if (own && attempt.head.status >= 500) {
             m_held = HeldAnswer{attempt.head, std::move(attempt.body)};
@@ -399,7 +397,7 @@
                            + (own ? "status " + std::to_string(attempt.head.status) : "answer without signature"));
         return;
     }
-    noteSuccess(server, warmup, now);
+    serverAnswered(attempt.target, now);
     if (m_committed) {
         m_call->write(std::move(attempt.body));
         m_call->end();
@@ -415,6 +413,25 @@
     finish(answer.head.status, {});
 }
 
+void ForwardedRequest::serverFailed(const Target &target, const std::string &reason, Time now)
+{
+    if (noteFailure(*target.state, now)) {
+        logWarning("server ejected",
+                   {{"server", target.server->id},
+                    {"service", m_serviceName},
+                    {"failures", std::to_string(target.state->failures)},
+                    {"reason", reason}});
+    }
+}
+
+void ForwardedRequest::serverAnswered(const Target &target, Time now)
+{
+    const milliseconds warmup(m_service->declared->warmup_ms());
+    if (noteSuccess(*target.state, warmup, now)) {
+        logInfo("server back", {{"server", target.server->id}, {"service", m_serviceName}});
+    }
+}
+
 // `ran`: the last attempt may have run the request.
 bool ForwardedRequest::mayRepeat(bool ran) const
 {
@@ -463,7 +480,7 @@
     if (m_attempt) {
         m_attempt->sending->cancel();
         if (sent) {
-            noteFailure(*m_attempt->target.state, Clock::now());
+            serverFailed(m_attempt->target, "time limit", Clock::now());
         }
         endAttempt();
         m_attempt.reset();
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -53,6 +53,8 @@
     void onEnd(AttemptEnd end, const std::string &reason);
     void commit();
     void drain();
+    void serverFailed(const Target &target, const std::string &reason, Time now);
+    void serverAnswered(const Target &target, Time now);
     bool mayRepeat(bool ran) const;
     void repeatOrGiveUp(bool ran, const std::string &reason);
     void deliver(const HeldAnswer &answer);
