--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,429 @@
+#!/usr/bin/env python3
+"""Randomized fault soak: real control and gateway processes on loopback, faults injected from outside.
+
+Usage: tests/soak.py [--seed N] [--seconds S] [--daemon PATH] [--keep]
+
+Checks while it runs, from what callers and backend servers see: an unsafe request runs at most once; a refusal that says
+"not run" is true; an answer belongs to its own request and is whole; no key reaches a server; a read of the declaration
+is never older than one acknowledged before the read; an evacuated zone gets nothing; nothing acknowledged is lost.
+Prints the seed, a line for each broken check, and "N passed, N failed" at the end; exit code 1 when a check failed.
+"""
+import argparse
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+ZONES = {"z1": "north", "z2": "south"}
+KEY = "soak-key"
+EVACUATION_BOUND_S = 5.0  # time after the acknowledgement until a server of the zone must get nothing
+CALLER_TIMEOUT_S = 4.0
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def read_message(reader):
+    """One HTTP message: start line, headers in lower case, body; None when the connection ended before it was whole."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        headers = {}
+        for line in head[1:]:
+            name, _, value = line.partition(":")
+            if name:
+                headers[name.strip().lower()] = value.strip()
+        if headers.get("transfer-encoding") == "chunked":
+            body = b""
+            while True:
+                size = int((await reader.readline()).strip(), 16)
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
+                if size == 0:
+                    return head[0], headers, body
+        return head[0], headers, await reader.readexactly(int(headers.get("content-length", 0)))
+    except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.LimitOverrunError):
+        return None
+
+
+async def call(address, method, target, headers=None, body=b"", timeout=CALLER_TIMEOUT_S):
+    """One request on a new connection; (status, headers, body), or None without a whole answer."""
+    host, port = address.rsplit(":", 1)
+    writer = None
+    try:
+        async with asyncio.timeout(timeout):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            lines = [f"{method} {target} HTTP/1.1", "Host: soak.example", f"Content-Length: {len(body)}"]
+            lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            message = await read_message(reader)
+            return message and (int(message[0].split()[1]), message[1], message[2])
+    except (TimeoutError, OSError):
+        return None
+    finally:
+        if writer:
+            writer.close()
+
+
+class Proxy:
+    """Loopback proxy in front of one backend server; `mode` holds for all its connections."""
+
+    def __init__(self, target):
+        self.target, self.mode, self.port, self.writers = target, "pass", 0, set()
+
+    async def start(self):
+        server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def accept(self, reader, writer):
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            back_reader, back_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers |= {writer, back_writer}
+        await asyncio.gather(self.pump(reader, back_writer, "up"), self.pump(back_reader, writer, "down"))
+        self.writers -= {writer, back_writer}
+
+    async def pump(self, reader, writer, direction):
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(0.15)
+                while self.mode == "silent" or self.mode == f"silent-{direction}":
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.close()
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Soak:
+    def __init__(self, arguments):
+        self.arguments = arguments
+        self.random = random.Random(arguments.seed)
+        self.folder = tempfile.mkdtemp(prefix="banyanledge-soak-")
+        self.failures, self.checks, self.served = [], 0, 0
+        self.processes = {}  # name to asyncio process
+        self.paused = {}  # name to the time of the end of the last pause
+        self.servers, self.proxies = {}, {}
+        self.runs, self.outcomes = {}, {}  # by request id
+        self.acked, self.version = 0, 0  # newest acknowledged and newest sent version
+        self.evacuated = {}  # zone to (acknowledged at or None)
+        self.stopping = False
+
+    def check(self, good, what):
+        self.checks += 1
+        if not good:
+            self.failures.append(what)
+            print(f"FAILED seed {self.arguments.seed}: {what}", flush=True)
+
+    # ------------------------------------------------------------------ outside of the system
+    async def start_server(self, number):
+        zone = list(ZONES)[number % len(ZONES)]
+        name = f"s{number}"
+
+        async def serve(reader, writer):
+            while message := await read_message(reader):
+                await self.run_request(name, zone, message, writer)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.proxies[name] = Proxy(server.sockets[0].getsockname()[1])
+        await self.proxies[name].start()
+        self.servers[name] = {"Service": "svc", "Address": f"127.0.0.1:{self.proxies[name].port}", "Zone": zone,
+                              "Version": "v1", "Slots": 4, "State": "ready", "WarmupLeftMs": 0}
+
+    async def run_request(self, name, zone, message, writer):
+        line, headers, body = message
+        request_id = headers.get("x-request-id", "")
+        answer = f"X-Request-Id: {request_id}\r\n"
+        try:
+            if headers.get("x-expect-instance") != name:
+                writer.write(f"HTTP/1.1 421 X\r\n{answer}Content-Length: 0\r\n\r\n".encode())
+                return
+            self.check("authorization" not in headers, f"a key reached server {name} ({request_id})")
+            self.check(headers.get("x-tenant") == "cust", f"request {request_id} names no customer")
+            since = self.evacuated.get(zone)
+            if since and not any(time.monotonic() - end < EVACUATION_BOUND_S for end in self.paused.values()):
+                self.check(time.monotonic() - since < EVACUATION_BOUND_S,
+                           f"server {name} of the evacuated zone {zone} got request {request_id}")
+            if self.random.random() < 0.05:
+                writer.write(f"HTTP/1.1 503 X\r\n{answer}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
+                return
+            self.runs[request_id] = self.runs.get(request_id, 0) + 1
+            if line.startswith("POST"):
+                self.check(self.runs[request_id] == 1, f"unsafe request {request_id} ran {self.runs[request_id]} times")
+                self.check(self.outcomes.get(request_id) not in (429, 503), f"refused request {request_id} ran later")
+            await asyncio.sleep(self.random.uniform(0.005, 0.08))
+            if self.random.random() < 0.03:
+                writer.transport.abort()  # the answer is lost
+                return
+            content = f"{name}|{request_id}|".encode() + body * 3
+            writer.write(f"HTTP/1.1 200 OK\r\n{answer}X-Response-Signature: {name}\r\nX-Backend-Load: 1,0,4\r\n"
+                         f"Content-Length: {len(content)}\r\n\r\n".encode() + content)
+            await writer.drain()
+        except OSError:
+            pass
+
+    async def start_list(self):
+        async def serve(reader, writer):
+            while await read_message(reader):
+                body = json.dumps({"Instances": self.servers, "NextToken": None}).encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+                             % len(body) + body)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.list_address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    # ------------------------------------------------------------------ processes of the system
+    def write_settings(self, name, zone, text):
+        region = ZONES[zone]
+        path = os.path.join(self.folder, f"{name}.ini")
+        with open(path, "w") as file:
+            file.write(f"[host]\nid = {name}\nregion = {region}\navailability_zone = {zone}\n"
+                       f"rpc_listen = {self.rpc[name]}\nworkers = 1\n{text}")
+
+    def prepare(self):
+        self.controls = [f"c{i}" for i in range(3)]
+        self.gateways = [f"g{i}" for i in range(3)]
+        self.rpc = {name: f"127.0.0.1:{free_port()}" for name in self.controls + self.gateways}
+        self.api = {name: f"127.0.0.1:{free_port()}" for name in self.controls}
+        self.front = {name: f"127.0.0.1:{free_port()}" for name in self.gateways}
+        self.ready = {name: f"127.0.0.1:{free_port()}" for name in self.gateways}
+        seeds = ", ".join(self.rpc[name] for name in self.controls)
+        for name in self.gateways:
+            self.write_settings(name, self.random.choice(list(ZONES)),
+                                f"[entry]\ncontrol_hosts = {seeds}\n[gateway]\nenabled = true\nlisten = "
+                                f"{self.front[name]}\nready_listen = {self.ready[name]}\nretry_slack = 60\n")
+        self.write_controls(bootstrap=True)
+
+    def write_controls(self, bootstrap):
+        seeds = ", ".join(self.rpc[name] for name in self.controls)
+        zones = ", ".join(f"{zone}={region}" for zone, region in ZONES.items())
+        for name in self.controls:
+            self.write_settings(name, "z1", f"[control]\nenabled = true\ndata_folder = {self.folder}/{name}\n"
+                                f"seeds = {seeds}\nbootstrap = {str(bootstrap).lower()}\n"
+                                f"declaration_listen = {self.api[name]}\n"
+                                f"[platform]\nlist_address = {self.list_address}\nzone_regions = {zones}\n")
+
+    async def start_process(self, name):
+        log = open(os.path.join(self.folder, f"{name}.log"), "ab")
+        self.processes[name] = await asyncio.create_subprocess_exec(
+            self.arguments.daemon, "--config", os.path.join(self.folder, f"{name}.ini"), stdout=log, stderr=log)
+
+    async def end_process(self, name, how):
+        process = self.processes[name]
+        if process.returncode is None:
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(how)
+        await process.wait()
+
+    # ------------------------------------------------------------------ operator and callers
+    def declaration(self, version):
+        route = {"Host": "soak.example", "TimeoutMs": 2000, "MaxAttempts": 3, "CacheAffinity": True, "Service": "svc"}
+        return {"Version": f"{version:08x}",
+                "Routes": [dict(route, Name="safe", PathPrefix="/safe/", Type="safe"),
+                           dict(route, Name="unsafe", PathPrefix="/unsafe/", Type="unsafe")],
+                "Services": [{"Name": "svc", "WarmupS": 1.0, "WarmupPerS": 50.0}],
+                "Tenants": [{"Name": "cust", "ApiKeys": [KEY], "RatePerS": 2000, "Burst": 2000}]}
+
+    async def order(self, target, body=b""):
+        """Sends an order to changing hosts until it is acknowledged."""
+        while not self.stopping:
+            answer = await call(self.api[self.random.choice(self.controls)], "POST", target, body=body, timeout=1.5)
+            if answer and answer[0] == 200:
+                return True
+            self.check(not answer or answer[0] == 503, f"order {target} was refused with {answer and answer[0]}")
+            await asyncio.sleep(0.05)
+        return False
+
+    async def put(self):
+        self.version += self.random.randint(1, 3)
+        version = self.version
+        if await self.order("/api/config/put", json.dumps(self.declaration(version)).encode()):
+            self.acked = max(self.acked, version)
+
+    async def operate(self):
+        while not self.stopping:
+            await asyncio.sleep(self.random.uniform(0.1, 0.8))
+            if self.random.random() < 0.6:
+                await self.put()
+            else:
+                zone = self.random.choice(list(ZONES))
+                start = not any(self.evacuated.values())
+                zone = zone if start else next(z for z, since in self.evacuated.items() if since)
+                if not start:
+                    self.evacuated[zone] = None
+                if await self.order(f"/api/evacuations/{zone}/{'start' if start else 'end'}") and start:
+                    self.evacuated[zone] = time.monotonic()
+
+    async def read_back(self):
+        while not self.stopping:
+            await asyncio.sleep(0.1)
+            before = self.acked
+            answer = await call(self.api[self.random.choice(self.controls)], "GET", "/api/config/get", timeout=1.5)
+            if answer and answer[0] == 200:
+                read = int(json.loads(answer[2])["Version"], 16)
+                self.check(read >= before, f"read version {read} after {before} was acknowledged")
+
+    async def request(self, number):
+        unsafe = self.random.random() < 0.4
+        request_id = f"r{number}"
+        body = os.urandom(self.random.choice([10, 2000])).hex().encode() if unsafe else b""
+        headers = {"X-Request-Id": request_id, "X-Affinity-Key": self.random.randrange(20), "X-Deadline-Ms": 2000,
+                   "Authorization": f"Bearer {KEY}"}
+        answer = await call(self.front[self.random.choice(self.gateways)], "POST" if unsafe else "GET",
+                            ("/unsafe/" if unsafe else "/safe/") + "x", headers, body)
+        status = answer[0] if answer else None
+        self.outcomes[request_id] = status
+        if status == 200:
+            self.served += 1
+            name, got, content = answer[2].split(b"|", 2)
+            self.check(got.decode() == request_id and content == body * 3, f"{request_id} got another answer")
+            self.check(answer[1].get("x-response-signature") == name.decode(), f"{request_id} lost its signature")
+        elif status in (429, 503) and unsafe:
+            self.check(request_id not in self.runs, f"{request_id} was refused with {status} and had run")
+
+    async def callers(self):
+        number = 0
+        tasks = set()
+        while not self.stopping:
+            number += 1
+            task = asyncio.create_task(self.request(number))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(self.random.expovariate(60))
+        await asyncio.gather(*tasks)
+
+    # ------------------------------------------------------------------ faults
+    async def process_fault(self, name):
+        kind = self.random.choice(["kill", "pause", "term", "hup", "wipe" if name in self.controls else "pause"])
+        if kind == "pause":
+            self.processes[name].send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.1, 3.0))
+            if self.processes[name].returncode is None:
+                self.processes[name].send_signal(signal.SIGCONT)
+            self.paused[name] = time.monotonic()
+        elif kind == "hup":
+            self.processes[name].send_signal(signal.SIGHUP)
+        else:
+            await self.end_process(name, signal.SIGTERM if kind == "term" else signal.SIGKILL)
+            if kind == "wipe":
+                shutil.rmtree(os.path.join(self.folder, name))
+            await asyncio.sleep(self.random.uniform(0.0, 1.0))
+            await self.start_process(name)
+            # A wiped host has to catch up before another one may be lost.
+            await asyncio.sleep(5.0 if name in self.controls else 0.0)
+            self.paused[name] = time.monotonic()
+
+    async def faults(self, names):
+        """One fault at a time among `names`, so that a quorum of control hosts stays."""
+        while not self.stopping:
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            await self.process_fault(self.random.choice(names))
+
+    async def link_faults(self):
+        while not self.stopping:
+            await asyncio.sleep(self.random.uniform(0.1, 1.0))
+            proxy = self.proxies[self.random.choice(list(self.proxies))]
+            mode = self.random.choice(["delay", "refuse", "silent", "silent-up", "silent-down", "reset"])
+            if mode == "reset":
+                proxy.reset()
+                continue
+            proxy.mode = mode
+            await asyncio.sleep(self.random.uniform(0.2, 2.0))
+            proxy.mode = "pass"
+
+    async def wait_ready(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            answers = [await call(self.ready[name], "GET", "/api/ready", timeout=1) for name in self.gateways]
+            if all(answer and answer[0] == 200 for answer in answers):
+                return True
+            await asyncio.sleep(0.1)
+        return False
+
+    async def run(self):
+        await self.start_list()
+        for number in range(6):
+            await self.start_server(number)
+        self.prepare()
+        for name in self.controls + self.gateways:
+            await self.start_process(name)
+        await self.put()
+        self.check(await self.wait_ready(20), "the gateways were not ready after 20 s")
+        self.write_controls(bootstrap=False)
+        tasks = [asyncio.create_task(job) for job in
+                 (self.callers(), self.operate(), self.read_back(), self.faults(self.controls),
+                  self.faults(self.gateways), self.link_faults())]
+        await asyncio.sleep(self.arguments.seconds)
+        self.stopping = True
+        await asyncio.gather(*tasks)
+        self.check(self.served > 0, "no request was served")
+        await self.after()
+        for name in self.processes:
+            await self.end_process(name, signal.SIGTERM)
+
+    async def after(self):
+        """Everything is up again: what was acknowledged is there, and requests are served."""
+        for proxy in self.proxies.values():
+            proxy.mode = "pass"
+        self.check(await self.wait_ready(20), "the gateways were not ready 20 s after the last fault")
+        answer = None
+        for _ in range(100):
+            answer = await call(self.api[self.random.choice(self.controls)], "GET", "/api/config/get", timeout=1.5)
+            if answer and answer[0] == 200:
+                break
+            await asyncio.sleep(0.1)
+        version = int(json.loads(answer[2])["Version"], 16) if answer and answer[0] == 200 else 0
+        self.check(version >= self.acked, f"version {version} is left of {self.acked}")
+        before = self.served
+        for number in range(50):
+            await self.request(f"end{number}")
+        self.check(self.served - before >= 25, f"{self.served - before} of 50 requests were served at the end")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--seed", type=int, default=random.randrange(1 << 31))
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--daemon", default="build/apps/banyanledged")
+    parser.add_argument("--keep", action="store_true", help="keep settings, logs and data")
+    soak = Soak(parser.parse_args())
+    print(f"seed {soak.arguments.seed}, folder {soak.folder}", flush=True)
+    try:
+        asyncio.run(soak.run())
+    finally:
+        for process in soak.processes.values():
+            if process.returncode is None:
+                try:
+                    os.kill(process.pid, signal.SIGKILL)
+                except ProcessLookupError:
+                    pass
+    if not soak.failures and not soak.arguments.keep:
+        shutil.rmtree(soak.folder)
+    print(f"{soak.served} requests served, version {soak.acked} acknowledged")
+    print(f"{soak.checks - len(soak.failures)} passed, {len(soak.failures)} failed")
+    sys.exit(1 if soak.failures else 0)
+
+
+if __name__ == "__main__":
+    main()
