--- a/control/declarations.cpp
+++ b/control/declarations.cpp
@@ -37,7 +37,7 @@
 {
     proto::Command command = operatorCommand();
     *command.mutable_put_declaration()->mutable_declaration() = declaration;
-    const auto result = m_leader.propose(command, Clock::now() + longest);
+    auto result = m_leader.propose(command, Clock::now() + longest);
     logResult("declaration put", std::to_string(declaration.version()), result);
     return result;
 }
@@ -47,7 +47,7 @@
     proto::Command command = operatorCommand();
     command.mutable_set_evacuation()->set_availability_zone(zone);
     command.mutable_set_evacuation()->set_active(active);
-    const auto result = m_leader.propose(command, Clock::now() + longest);
+    auto result = m_leader.propose(command, Clock::now() + longest);
     logResult(active ? "evacuation started" : "evacuation ended", zone, result);
     return result;
 }
--- a/control/join.cpp
+++ b/control/join.cpp
@@ -49,7 +49,7 @@
 // The known leader first, else the seeds in turn.
 std::string GroupJoiner::Private::nextAddress()
 {
-    const std::string leader = status().leader_address();
+    std::string leader = status().leader_address();
     const std::lock_guard lock(mutex);
     if ((!leader.empty() && leader != ownAddress) || seeds.empty()) {
         return leader;
--- a/fleet/follower.cpp
+++ b/fleet/follower.cpp
@@ -265,7 +265,7 @@
 }
 
 void Follower::takeTokens(const proto::TakeTokensRequest &request, milliseconds longest,
-                          std::function<void(const proto::TakeTokensReply &)> done)
+                          const std::function<void(const proto::TakeTokensReply &)> &done)
 {
     struct Call
     {
--- a/fleet/follower.h
+++ b/fleet/follower.h
@@ -64,7 +64,7 @@
     // Asks the leader once for tokens of customers' rates. `done` gets ERROR_UNAVAILABLE when it did not answer in
     // time; it runs on another thread.
     void takeTokens(const proto::TakeTokensRequest &request, milliseconds longest,
-                    std::function<void(const proto::TakeTokensReply &)> done);
+                    const std::function<void(const proto::TakeTokensReply &)> &done);
 
     // Sends a command to the leader, again with the same change id until the deadline. `done` gets ERROR_TIMEOUT when
     // the outcome is unknown.
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -14,8 +14,17 @@
 namespace
 {
 
-// An answer up to this size reaches the caller only when it is whole, so that a broken one can be repeated.
+// An answer up to this size reaches the caller only when it is whole, so that a broken one can be repeated. On a slow
+// link it is smaller, because such an answer passes the link twice, one time after the other.
 constexpr std::size_t wholeAnswerBytes = 128UL * 1024;
+constexpr double wholeAnswerSeconds = 0.02;
+
+std::size_t wholeAnswerLimit(double linkMbps)
+{
+    constexpr double bytesPerMegabit = 125000;
+    const double bytes = linkMbps > 0 ? linkMbps * bytesPerMegabit * wholeAnswerSeconds : wholeAnswerBytes;
+    return static_cast<std::size_t>(std::min<double>(bytes, wholeAnswerBytes));
+}
 
 // Reading from the server pauses while the caller has this much to take, and resumes at a quarter of it.
 constexpr std::size_t unsentBytes = 512UL * 1024;
@@ -255,16 +264,16 @@
         const bool ours = sameHeader(name, "Authorization") || sameHeader(name, names.customer)
             || sameHeader(name, names.expectedServer) || sameHeader(name, names.timeLeftMs);
         if (!ours) {
-            bytes += name + ": " + value + "\r\n";
+            appendHeader(bytes, name, value);
         }
     }
-    bytes += names.timeLeftMs + ": " + millisecondsText(std::max<Duration>(remaining(now), milliseconds(1))) + "\r\n";
-    bytes += names.expectedServer + ": " + server.id + "\r\n";
+    appendHeader(bytes, names.timeLeftMs, millisecondsText(std::max<Duration>(remaining(now), milliseconds(1))));
+    appendHeader(bytes, names.expectedServer, server.id);
     if (m_customer != nullptr) {
-        bytes += names.customer + ": " + m_customer->name() + "\r\n";
+        appendHeader(bytes, names.customer, m_customer->name());
     }
     if (!request.body.empty() || request.head.length || request.head.chunked) {
-        bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+        appendHeader(bytes, "Content-Length", std::to_string(request.body.size()));
     }
     return bytes + "\r\n" + request.body;
 }
@@ -289,7 +298,7 @@
     request.longestIdle = m_route->kind() == proto::REQUEST_UNSAFE ? Duration(unsafeIdle) : Duration::max();
     AttemptHandlers handlers;
     handlers.head = [self = shared_from_this()](const HttpHead &head) { self->onHead(head); };
-    handlers.body = [self = shared_from_this()](std::string bytes) { self->onBody(std::move(bytes)); };
+    handlers.body = [self = shared_from_this()](const std::string &bytes) { self->onBody(bytes); };
     handlers.end = [self = shared_from_this()](AttemptEnd end, const std::string &reason) { self->onEnd(end, reason); };
     m_attempt->sending = m_state.upstream.send(std::move(request), std::move(handlers));
 }
@@ -309,12 +318,12 @@
     attempt.failed = !attempt.refused && (head.status >= 500 || !own);
 }
 
-void ForwardedRequest::onBody(std::string bytes)
+void ForwardedRequest::onBody(const std::string &bytes)
 {
     Attempt &attempt = *m_attempt;
     attempt.body += bytes;
     const bool deliverable = !attempt.refused && !attempt.failed;
-    if (deliverable && !m_committed && attempt.body.size() > wholeAnswerBytes) {
+    if (deliverable && !m_committed && attempt.body.size() > wholeAnswerLimit(m_state.options.settings.link_mbps())) {
         commit();
     }
     if (m_committed) {
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -49,7 +49,7 @@
     void send(const Target &target);
     std::string upstreamBytes(const RoutedServer &server, Time now) const;
     void onHead(const HttpHead &head);
-    void onBody(std::string bytes);
+    void onBody(const std::string &bytes);
     void onEnd(AttemptEnd end, const std::string &reason);
     void commit();
     void drain();
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -29,7 +29,7 @@
 
 Gateway::~Gateway() = default;
 
-void Gateway::setView(std::shared_ptr<const View> view)
+void Gateway::setView(const std::shared_ptr<const View> &view)
 {
     d->setView(view, Clock::now());
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -35,7 +35,7 @@
     // All functions run on the loop's thread.
 
     // Takes a new copy of the table.
-    void setView(std::shared_ptr<const View> view);
+    void setView(const std::shared_ptr<const View> &view);
 
     // Takes this host's shares of customers' rates and the loads of servers from an answer to a report.
     void takeAnswer(const proto::SyncRequest &request, const proto::SyncReply &reply);
--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -38,9 +38,9 @@
 
 } // namespace
 
-GatewayState::GatewayState(asio::io_context &given, Gateway::Options given_options)
+GatewayState::GatewayState(asio::io_context &given, Gateway::Options givenOptions)
     : loop(given)
-    , options(std::move(given_options))
+    , options(std::move(givenOptions))
     , upstream(given, {options.names.requestId})
     , random(randomId())
 {
--- a/gateway/upstream.cpp
+++ b/gateway/upstream.cpp
@@ -341,7 +341,7 @@
 {
     const auto found = idle.find(server);
     while (found != idle.end() && !found->second.empty()) {
-        const auto connection = found->second.back();
+        auto connection = found->second.back();
         if (connection->usable(longestIdle)) {
             found->second.pop_back();
             return connection;
--- a/ledger/raftleader.cpp
+++ b/ledger/raftleader.cpp
@@ -160,8 +160,7 @@
     for (const auto &voter : m_log.config().members()) {
         const auto found = m_progress.find(voter.id());
         if (voter.voter() && found != m_progress.end() && now >= found->second.heard + m_options.removeSilentAfter) {
-            const proto::LogMember silent = voter;
-            return changeMember(silent, true).has_value();
+            return changeMember(voter, true).has_value();
         }
     }
     return false;
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -72,6 +72,11 @@
         && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
 }
 
+void appendHeader(std::string &text, std::string_view name, std::string_view value)
+{
+    text.append(name).append(": ").append(value).append("\r\n");
+}
+
 const std::string *findHeader(const HttpHeaders &headers, std::string_view name)
 {
     for (const auto &[key, value] : headers) {
--- a/net/http.h
+++ b/net/http.h
@@ -14,6 +14,9 @@
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+// Adds a line "NAME: VALUE" with its end.
+void appendHeader(std::string &text, std::string_view name, std::string_view value);
+
 // Value of the first header of that name, compared without regard to case; nullptr when absent.
 const std::string *findHeader(const HttpHeaders &headers, std::string_view name);
 
--- a/net/server.cpp
+++ b/net/server.cpp
@@ -128,7 +128,7 @@
         m_closeAfter = m_closeAfter || !m_request.head.keepAlive || m_server->closing;
         std::string head = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
         for (const auto &[name, value] : headers) {
-            head += name + ": " + value + "\r\n";
+            appendHeader(head, name, value);
         }
         const bool bodyless = status / 100 == 1 || status == 204 || status == 304;
         m_noBody = bodyless || m_request.head.method == "HEAD";
@@ -154,7 +154,7 @@
             std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
             bytes = size + std::move(bytes) + "\r\n";
         }
-        send(std::move(bytes));
+        send(bytes);
     }
 
     void end() override
@@ -288,7 +288,7 @@
         respond(status, {{"Content-Type", "text/plain"}}, reason + "\n");
     }
 
-    void send(std::string bytes)
+    void send(const std::string &bytes)
     {
         m_output += bytes;
         if (m_writing.empty()) {
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -21,7 +21,7 @@
     return count;
 }
 
-void scriptAll(GatewayBed &bed, std::function<void(const Connection &, const SeenRequest &)> script)
+void scriptAll(GatewayBed &bed, const std::function<void(const Connection &, const SeenRequest &)> &script)
 {
     for (auto &server : bed.servers) {
         server.script = script;
--- a/tests/test_hostlimits.cpp
+++ b/tests/test_hostlimits.cpp
@@ -29,7 +29,7 @@
     RateBucket bucket;
     bool told = false;
 
-    proto::SyncRequest report(double demand, Time now) const
+    proto::SyncRequest report(double demand) const
     {
         proto::SyncRequest request;
         request.mutable_self()->set_id(id);
@@ -170,7 +170,7 @@
             if (*rc::gen::inRange(0, 40) == 0) {
                 shares.reset({}, now); // another leader that knows nothing
             }
-            shares.reported(host.report(*rc::gen::inRange(0, 300), now), now);
+            shares.reported(host.report(*rc::gen::inRange(0, 300)), now);
             const auto answer = shares.sharesFor(host.id, declaration, live, now);
             if (*rc::gen::inRange(0, 5) != 0) { // else the answer is lost
                 host.bucket.setShare(answer.front().rate(), answer.front().burst(), now);
@@ -199,7 +199,7 @@
     for (int i = 0; i < 10; ++i) {
         for (auto &host : hosts) {
             now += milliseconds(200);
-            shares.reported(host.report(host.id == "a" ? 50 : 0, now), now);
+            shares.reported(host.report(host.id == "a" ? 50 : 0), now);
             const auto answer = shares.sharesFor(host.id, declaration, live, now);
             host.bucket.setShare(answer.front().rate(), answer.front().burst(), now);
             host.told = true;
