--- a/decide/placement.cpp
+++ b/decide/placement.cpp
@@ -32,7 +32,7 @@
 constexpr std::size_t preferred = 3;
 
 // Cost of the next server in the order, in queued requests for each slot: it may not have the object at hand.
-constexpr double nextServerCost = 0.8;
+constexpr double nextServerCost = 1.3;
 
 } // namespace
 
