--- a/fleet/follower.cpp
+++ b/fleet/follower.cpp
@@ -28,6 +28,10 @@
 // freshnessTerm ends.
 constexpr milliseconds syncTimeout{700};
 
+// The same for hosts that serve on without a lease: on a full link an answer may need more than syncTimeout, and a call
+// that is given up is paid for twice.
+constexpr milliseconds patientSyncTimeout{1400};
+
 // Pause before another control host is asked after a failure.
 constexpr milliseconds switchDelay{20};
 
@@ -408,7 +412,7 @@
         call = started;
     }
     const auto stub = stubFor(started->address);
-    started->context.set_deadline(wallDeadline(syncTimeout));
+    started->context.set_deadline(wallDeadline(options.patient ? patientSyncTimeout : syncTimeout));
     // The lease counts from before the call was sent: the leader proves only what was committed up to some later
     // moment.
     started->sent = Clock::now();
--- a/fleet/follower.h
+++ b/fleet/follower.h
@@ -25,6 +25,7 @@
         std::function<void(proto::SyncRequest &)> addReport; // adds the loads of owned pools and links
         // Takes shares and loads of an answer, before a new copy of the table; may be empty.
         std::function<void(const proto::SyncRequest &, const proto::SyncReply &)> takeAnswer;
+        bool patient = false; // the host serves on without a lease, so calls may take longer
     };
 
     explicit Follower(Options options);
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -39,8 +39,10 @@
 constexpr unsigned extraSends = 2;
 
 // Idle time of a kept connection that a request which may not run twice still uses. A longer idle one is more likely to
-// be closed under the request.
-constexpr milliseconds unsafeIdle{2500};
+// be closed under the request, and after one was, only the shortest idle time counts for a while.
+constexpr milliseconds unsafeIdle{6000};
+constexpr milliseconds distrustedIdle{100};
+constexpr milliseconds distrustTime{5000};
 
 // Longest queue at a server, in requests for each slot, for the most urgent requests; less urgent ones leave room.
 constexpr double longestQueue = 2.0;
@@ -190,6 +192,11 @@
     m_serviceState = &m_state.services[m_serviceName];
     m_serviceState->retries.requested(m_state.retryBound(), now);
     chooseRegions();
+    if (m_route->kind() == proto::REQUEST_DOWNLOAD
+        && !linkTakesDownload(m_state.linkUse, m_state.options.settings.link_mbps(), now)) {
+        refuse(503, "the link of this host is full", comeBackFull);
+        return false;
+    }
     if (m_state.inFlight > m_state.options.settings.largest_in_flight()) {
         refuse(503, "this host handles as many requests as it may", comeBackFull);
         return false;
@@ -295,7 +302,11 @@
     request.bytes = upstreamBytes(*target.server, now);
     request.requestId = m_id;
     request.headMethod = m_call->request().head.method == "HEAD";
-    request.longestIdle = m_route->kind() == proto::REQUEST_UNSAFE ? Duration(unsafeIdle) : Duration::max();
+    if (m_route->kind() == proto::REQUEST_UNSAFE) {
+        request.longestIdle = now < m_state.keptDistrustedUntil ? distrustedIdle : unsafeIdle;
+    } else {
+        request.longestIdle = Duration::max();
+    }
     AttemptHandlers handlers;
     handlers.head = [self = shared_from_this()](const HttpHead &head) { self->onHead(head); };
     handlers.body = [self = shared_from_this()](const std::string &bytes) { self->onBody(bytes); };
@@ -340,6 +351,7 @@
 
 void ForwardedRequest::drain()
 {
+    m_state.linkUse.add(static_cast<double>(m_attempt->body.size()), Clock::now());
     m_call->write(std::exchange(m_attempt->body, {}));
     if (m_call->unsent() > unsentBytes) {
         m_attempt->sending->pause(true);
@@ -385,6 +397,9 @@
     }
     ++m_ran;
     if (end == AttemptEnd::NoAnswer) {
+        if (attempt.sending->reused() && attempt.head.status == 0) {
+            m_state.keptDistrustedUntil = now + distrustTime;
+        }
         serverFailed(attempt.target, reason, now);
         if (m_committed) {
             m_call->abort();
@@ -418,6 +433,7 @@
 
 void ForwardedRequest::deliver(const HeldAnswer &answer)
 {
+    m_state.linkUse.add(static_cast<double>(answer.body.size()), Clock::now());
     m_call->respond(answer.head.status, endToEndHeaders(answer.head.headers), answer.body);
     finish(answer.head.status, {});
 }
--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -67,7 +67,8 @@
                     [this](proto::SyncRequest &request) { addReport(request); },
                     [this](const proto::SyncRequest &request, const proto::SyncReply &reply) {
                         asio::post(loop, [this, request, reply] { gateway.takeAnswer(request, reply); });
-                    }})
+                    },
+                    true})
     {
     }
 
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "decide/hostlimits.h"
+#include "decide/linkuse.h"
 #include "decide/placement.h"
 #include "decide/spill.h"
 #include "gateway/gateway.h"
@@ -82,6 +83,8 @@
     std::map<std::string, SplitCount> splits; // by route
     std::mt19937_64 random;
     std::size_t inFlight = 0;
+    LinkUse linkUse;
+    Time keptDistrustedUntil{}; // a kept connection died under a request shortly before
 
 private:
     void askForTokens();
--- a/gateway/upstream.cpp
+++ b/gateway/upstream.cpp
@@ -109,6 +109,7 @@
     void reuse(UpstreamRequest request, AttemptHandlers handlers)
     {
         m_timer.cancel();
+        m_reused = true;
         begin(std::move(request), std::move(handlers));
         write();
         read();
@@ -128,6 +129,11 @@
         }
     }
 
+    bool reused() const override
+    {
+        return m_reused;
+    }
+
     bool sent() const override
     {
         return m_sent;
@@ -328,6 +334,7 @@
     Time m_idleSince{};
     Time m_idleUntil{};
     bool m_busy = false;
+    bool m_reused = false;
     bool m_sent = false;
     bool m_written = false;
     bool m_reading = false;
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -44,6 +44,9 @@
 
     // Whether a byte of the request may have left this host.
     virtual bool sent() const = 0;
+
+    // Whether the request went on a kept connection.
+    virtual bool reused() const = 0;
 };
 
 struct UpstreamRequest
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -119,6 +119,26 @@
     CHECK(arrivals(bed) == 2);
 }
 
+// Servers that forget idle connections break every request on a kept one.
+TEST_CASE("after a kept connection died, unsafe requests use new ones for a while")
+{
+    GatewayBed bed(1);
+    int count = 0;
+    bed.servers[0].script = [&](const Connection &connection, const SeenRequest &request) {
+        if (++count == 2) {
+            connection->reset();
+        } else {
+            connection->answer(request, 200, "ok");
+        }
+    };
+    CHECK(bed.call(GatewayBed::request("unsafe", "a", "", "x")).status() == 200);
+    CHECK(bed.call(GatewayBed::request("unsafe", "b", "", "x")).status() == 502);
+    CHECK(bed.call(GatewayBed::request("unsafe", "c", "", "x")).status() == 200);
+    bed.runFor(milliseconds(150));
+    CHECK(bed.call(GatewayBed::request("unsafe", "d", "", "x")).status() == 200);
+    CHECK(bed.servers[0].connections == 3);
+}
+
 TEST_CASE("a safe request is repeated on another server, at most as often as the route says")
 {
     GatewayBed bed(3);
--- a/tests/test_hostlimits.cpp
+++ b/tests/test_hostlimits.cpp
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include "decide/hostlimits.h"
+#include "decide/linkuse.h"
 #include "decide/shares.h"
 
 using namespace banyanledge;
@@ -44,6 +45,22 @@
 
 } // namespace
 
+// Large answers on a full link delayed every other answer, and those of the control leader, by seconds.
+TEST_CASE("no more large answers are asked for while the link is full")
+{
+    LinkUse use;
+    CHECK(linkTakesDownload(use, 4.4, start));
+    for (int i = 0; i < 6; ++i) {
+        use.add(90000, start + milliseconds(100 * i));
+    }
+    const Time now = start + milliseconds(600);
+    CHECK(use.part(4.4, now) > 0.7);
+    CHECK_FALSE(linkTakesDownload(use, 4.4, now));
+    CHECK(linkTakesDownload(use, 1000, now));
+    CHECK(linkTakesDownload(use, 0, now));
+    CHECK(linkTakesDownload(use, 4.4, now + std::chrono::seconds(1)));
+}
+
 // Retries of all hosts together must stay below the ratio and the slack of the service.
 TEST_CASE("retry shares of all hosts keep the service's bound")
 {
