--- a/tests/test_control.cpp
+++ b/tests/test_control.cpp
@@ -4,6 +4,7 @@
 #include "control/loads.h"
 #include "control/members.h"
 #include "control/platform.h"
+#include "control/serverloads.h"
 #include "control/shifts.h"
 
 using namespace banyanledge;
@@ -409,3 +410,29 @@
     CHECK(commands[0].start_shift().shift().failover());
     CHECK(commands[0].start_shift().shift().to_region() == "south");
 }
+
+// Guards against loads of a host that is gone, which would keep requests away from servers for good.
+TEST_CASE("loads of servers are summed over the hosts and end with their reports")
+{
+    ServerLoads loads;
+    const Time now = Time{} + std::chrono::hours(1);
+    const auto report = [&](const std::string &host, std::uint32_t count, Time at) {
+        proto::SyncRequest request;
+        request.mutable_self()->set_id(host);
+        request.add_servers()->set_server(7);
+        request.mutable_servers(0)->set_in_flight(count);
+        loads.reported(request, at);
+    };
+    const auto sum = [&](Time at) {
+        proto::SyncReply reply;
+        loads.addTo(reply, at);
+        return reply.servers_size() == 0 ? 0U : reply.servers(0).in_flight();
+    };
+    report("a", 2, now);
+    report("b", 3, now);
+    CHECK(sum(now) == 5);
+    report("a", 1, now + milliseconds(1500));
+    CHECK(sum(now + milliseconds(1500)) == 4);
+    CHECK(sum(now + milliseconds(2100)) == 1);
+    CHECK(sum(now + milliseconds(4000)) == 0);
+}
--- a/tests/test_raft.cpp
+++ b/tests/test_raft.cpp
@@ -284,3 +284,71 @@
     CHECK(granted(proto::RaftMessage::PRE_VOTE, 2));
     CHECK(granted(proto::RaftMessage::VOTE, 2));
 }
+
+namespace
+{
+
+// A leader of `voters` members, of which all but the last answer; runs it for some seconds and returns its members.
+proto::LogConfig membersWithOneSilent(int voters, std::size_t smallestQuorum)
+{
+    RaftState state;
+    for (int i = 1; i <= voters; ++i) {
+        auto *member = state.config.add_members();
+        member->set_id("c" + std::to_string(i));
+        member->set_rpc_address("127.0.0.1:" + std::to_string(i));
+        member->set_voter(true);
+    }
+    // Not the first election of a group, which needs every member.
+    state.hard.set_term(1);
+    state.entries.emplace_back().set_term(1);
+    state.entries.back().set_index(1);
+    state.entries.back().set_noop(true);
+    RaftOptions options;
+    options.id = "c1";
+    options.identity = "i1";
+    options.removeSilentAfter = milliseconds(3000);
+    options.smallestQuorum = smallestQuorum;
+    Time now{};
+    Raft raft(options, state, now);
+    const std::string silent = "c" + std::to_string(voters);
+    for (int step = 0; step < 600; ++step) {
+        now += milliseconds(10);
+        raft.tick(now);
+        auto output = raft.output(now);
+        raft.persisted(now);
+        output.messages.insert(output.messages.end(), output.heartbeats.begin(), output.heartbeats.end());
+        for (const auto &request : output.messages) {
+            if (request.to() == silent) {
+                continue;
+            }
+            proto::RaftMessage reply;
+            reply.set_kind(request.kind() == proto::RaftMessage::PRE_VOTE   ? proto::RaftMessage::PRE_VOTE_REPLY
+                               : request.kind() == proto::RaftMessage::VOTE ? proto::RaftMessage::VOTE_REPLY
+                                                                            : proto::RaftMessage::APPEND_REPLY);
+            reply.set_from(request.to());
+            reply.set_to(request.from());
+            reply.set_identity("of " + request.to());
+            reply.set_term(request.term());
+            reply.set_success(true);
+            reply.set_round(request.round());
+            reply.set_log_index(request.kind() == proto::RaftMessage::APPEND
+                                    ? request.log_index() + static_cast<std::uint64_t>(request.entries_size())
+                                    : 0);
+            raft.step(reply, now);
+        }
+    }
+    REQUIRE(raft.role() == Raft::Role::Leader);
+    return raft.log().config();
+}
+
+} // namespace
+
+// Guards against a dead member that stays after its replacement joined, and against a group that shrinks until an
+// acknowledged entry is on too few disks.
+TEST_CASE("a silent voter is removed only where the quorum shrinks and stays large enough")
+{
+    CHECK(membersWithOneSilent(6, 3).members_size() == 5);
+    CHECK(membersWithOneSilent(5, 3).members_size() == 5);
+    CHECK(membersWithOneSilent(4, 3).members_size() == 4);
+    CHECK(membersWithOneSilent(4, 2).members_size() == 3);
+}
--- a/tests/test_table.cpp
+++ b/tests/test_table.cpp
@@ -432,3 +432,37 @@
     CHECK(log(remove).kind() == proto::ERROR_NONE);
     CHECK(log.table.members().empty());
 }
+
+// Guards against an older declaration, or other content under the version held, that comes into force.
+TEST_CASE("the highest version of a declaration is in force and survives an image")
+{
+    Log log;
+    const auto put = [&](std::uint64_t version, const std::string &host) {
+        return log(parse("put_declaration { declaration { version: " + std::to_string(version) + " original: '" + host
+                         + "' services { name: 's' } routes { name: 'r' host: '" + host
+                         + "' path_prefix: '/' max_attempts: 1 split { service: 's' weight: 1 } } } }"));
+    };
+    CHECK(put(5, "a").kind() == proto::ERROR_NONE);
+    const auto older = put(4, "b");
+    CHECK(older.kind() == proto::ERROR_NONE);
+    CHECK(older.version() == 5);
+    CHECK(put(5, "c").repeated());
+    CHECK(log.table.declaration().routes(0).host() == "a");
+    CHECK(put(0, "d").kind() == proto::ERROR_INVALID);
+    CHECK(put(9, "e").kind() == proto::ERROR_NONE);
+    log(parse("set_evacuation { availability_zone: 'z' active: true }"));
+    Table restored;
+    restored.restore(log.table.image());
+    CHECK(restored.declaration().version() == 9);
+    CHECK(restored.declaration().original() == "e");
+    CHECK(restored.evacuations().at("z").active());
+    CHECK(restored.image().SerializeAsString() == log.table.image().SerializeAsString());
+    bool snapshot = false;
+    const auto delta = log.table.contentSince(log.table.revision() - 2, &snapshot);
+    CHECK_FALSE(snapshot);
+    CHECK(delta.has_declaration());
+    CHECK(delta.evacuations_size() == 1);
+    const auto view = View::next(View(), log.table.contentSince(0, &snapshot), true);
+    CHECK(view->declaration().version() == 9);
+    CHECK(view->evacuations().at("z").active());
+}
