--- a/tests/soak.py
+++ b/tests/soak.py
@@ -26,10 +26,18 @@
 CALLER_TIMEOUT_S = 4.0
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_port(taken=set()):
+    """A port below the range of outgoing connections, which could take it before the process binds it."""
+    while True:
+        port = random.SystemRandom().randrange(12000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in taken:
+            taken.add(port)
+            return port
 
 
 async def read_message(reader):
