Keep a task alive until the event loop has left it

The main thread destroyed the task of onLoop() as soon as its result was there, while the loop could still run in it.

--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -80,9 +80,10 @@
     template<typename Function>
     auto onLoop(Function function)
     {
-        std::packaged_task<decltype(function())()> task(std::move(function));
-        auto result = task.get_future();
-        asio::post(loop, [&task] { task(); });
+        // Shared with the loop: the result is there before the loop has left the task.
+        auto task = std::make_shared<std::packaged_task<decltype(function())()>>(std::move(function));
+        auto result = task->get_future();
+        asio::post(loop, [task] { (*task)(); });
         return result.get();
     }
 
