Block signals before the first thread, so that a shutdown ends only when it is done

A SIGHUP or second SIGTERM during a shutdown, when nobody waits for signals, was delivered to that thread and its default action ended the process with all its requests. Ruled out: a crash (a new line for fatal signals did not appear), memory, the grace time. Change: signals are blocked first in main(). A process that ends by a fatal signal now leaves a line with addresses. Tests: test_drains 'a reload or a second stop' fails before (786,432 of 4,194,304 bytes) and passes; test_base.

--- a/apps/banyanledged.cpp
+++ b/apps/banyanledged.cpp
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "apps/metricspage.h"
+#include "base/crash.h"
 #include "base/error.h"
 #include "base/invariant.h"
 #include "base/log.h"
@@ -305,7 +306,8 @@
     return ExitOk;
 }
 
-// Blocked in all threads, so that only sigwait() sees them.
+// Blocked in all threads, so that only sigwait() sees them. Comes before the first thread is started: a thread that
+// does not block them lets their default action end the process while nobody waits for them, as during a shutdown.
 void blockSignals()
 {
     sigset_t signals;
@@ -321,6 +323,7 @@
 
 int main(int argc, char **argv)
 {
+    blockSignals();
     Arguments arguments;
     if (const auto code = parseArguments(argc, argv, arguments)) {
         return *code;
@@ -338,8 +341,8 @@
         std::cerr << arguments.config << ": [host] log_level: write debug, info, warning or error\n";
         return ExitFailed;
     }
+    reportCrashes(settings->host().id());
     setInvariantsFatal(settings->host().fatal_invariants());
-    blockSignals();
     const int code = run(*settings, arguments.config);
     stopLog();
     return code;
--- a/tests/test_base.cpp
+++ b/tests/test_base.cpp
@@ -1,6 +1,12 @@
 // Settings, digests and log helpers.
 #include <catch2/catch.hpp>
 
+#include <csignal>
+#include <cstdlib>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "base/crash.h"
 #include "base/digest.h"
 #include "base/error.h"
 #include "base/log.h"
@@ -91,3 +97,29 @@
     countMetric("banyanledge_test_total", {{"kind", "a"}}, 2);
     CHECK_THAT(metricsText(), Catch::Matchers::Contains("banyanledge_test_total{kind=\"a\"} 2"));
 }
+
+// A process that ended by a signal left no line, so that its end could not be explained from the logs.
+TEST_CASE("a fatal signal leaves a line with the signal and addresses, and still ends the process")
+{
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    const pid_t child = fork();
+    if (child == 0) {
+        dup2(ends[1], STDOUT_FILENO);
+        reportCrashes("h1");
+        std::abort();
+    }
+    close(ends[1]);
+    std::string text;
+    char buffer[256];
+    for (ssize_t size = 0; (size = read(ends[0], buffer, sizeof(buffer))) > 0;) {
+        text.append(buffer, static_cast<std::size_t>(size));
+    }
+    close(ends[0]);
+    int status = 0;
+    REQUIRE(waitpid(child, &status, 0) == child);
+    CHECK((WIFSIGNALED(status) && WTERMSIG(status) == SIGABRT));
+    CHECK(text.find(R"("host":"h1","message":"the process ends by a fatal signal","signal":"6","addresses":"0x)")
+          != std::string::npos);
+    CHECK(text.back() == '\n');
+}
--- a/tests/test_drains.cpp
+++ b/tests/test_drains.cpp
@@ -122,3 +122,26 @@
     CHECK(answer.body.size() == bytes);
     fleet.waitForExit(entry.name);
 }
+
+// The thread of the log did not block the signals, so a SIGHUP or a second SIGTERM during the shutdown ended the
+// process.
+TEST_CASE("a reload or a second stop that is asked for during a planned stop cuts nothing")
+{
+    Fleet fleet("--entries 1 --servers 1");
+    const Process entry = fleet.processes("entry").front();
+    constexpr std::size_t bytes = 4 << 20;
+    HttpReply answer;
+    std::thread download([&] {
+        HttpClient client;
+        answer = get(client, entry, "/s/lessons/bytes?count=" + std::to_string(bytes) + "&pause_ms=25", fleet.key());
+    });
+    REQUIRE(waitUntil([&] { return fleet.requestsInFlight() > 0; }));
+    fleet.signal(entry.name, SIGTERM);
+    std::this_thread::sleep_for(milliseconds(300));
+    fleet.signal(entry.name, SIGHUP);
+    fleet.signal(entry.name, SIGTERM);
+    download.join();
+    CHECK(answer.status == 200);
+    CHECK(answer.body.size() == bytes);
+    fleet.waitForExit(entry.name);
+}
