Sync answers: parts that are the same for many hosts are built and compressed once

Each answer copied, serialized and compressed the declaration for each of 90 hosts. Change: content and loads are serialized and compressed once for all hosts at a revision; customers whose rate is pooled whole have no entries in reports and answers. Test: test_sync (common parts).

--- /dev/null
+++ b/base/packing.cpp
@@ -0,0 +1,48 @@
+#include "base/packing.h"
+
+#include <google/protobuf/io/gzip_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+
+#include "base/error.h"
+
+namespace banyanledge
+{
+
+namespace
+{
+
+// Level of zlib. Higher ones take several times as long for a tenth less.
+constexpr int fastCompression = 1;
+
+} // namespace
+
+std::string packCommon(const proto::SyncReply &part)
+{
+    std::string bytes;
+    google::protobuf::io::StringOutputStream output(&bytes);
+    google::protobuf::io::GzipOutputStream::Options options;
+    options.compression_level = fastCompression;
+    google::protobuf::io::GzipOutputStream gzip(&output, options);
+    part.SerializeToZeroCopyStream(&gzip);
+    gzip.Close();
+    return bytes;
+}
+
+bool unpackCommon(proto::SyncReply &reply)
+{
+    const auto packed = reply.common();
+    reply.clear_common();
+    for (const std::string &bytes : packed) {
+        google::protobuf::io::ArrayInputStream input(bytes.data(), static_cast<int>(bytes.size()));
+        google::protobuf::io::GzipInputStream gzip(&input);
+        proto::SyncReply part;
+        if (!part.ParseFromZeroCopyStream(&gzip)) {
+            fail(proto::ERROR_INVALID, "a common part of a Sync answer can't be read; the call is repeated");
+            return false;
+        }
+        reply.MergeFrom(part);
+    }
+    return true;
+}
+
+} // namespace banyanledge
--- a/control/service.cpp
+++ b/control/service.cpp
@@ -52,8 +52,7 @@
     grpc::ServerUnaryReactor *Sync(grpc::CallbackServerContext *context, const proto::SyncRequest *request,
                                    proto::SyncReply *reply) override
     {
-        // Most of an answer are loads of pools with alike names, and a node may spend only 4 KB/s on control.
-        context->set_compression_algorithm(GRPC_COMPRESS_GZIP);
+        // Not compressed by gRPC: the parts that fill an answer are compressed once for all hosts.
         auto *reactor = context->DefaultReactor();
         asio::post(m_loop, [this, reactor, request, reply] {
             m_sync.add(*request, [reactor, reply](const proto::SyncReply &answer) {
--- a/control/sync.cpp
+++ b/control/sync.cpp
@@ -4,10 +4,19 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/packing.h"
 
 namespace banyanledge
 {
 
+namespace
+{
+
+// Age up to which loads of the fleet are sent again without summing them up anew.
+constexpr milliseconds fleetStateInterval{50};
+
+} // namespace
+
 SyncCalls::SyncCalls(asio::io_context &loop, Node &node, RateTolerance tolerance)
     : m_loop(loop)
     , m_node(node)
@@ -145,6 +154,7 @@
         startLeading(m_liveness, now);
         m_shares.reset(m_tolerance, now);
         m_serverLoads = {};
+        m_fleetStateAt = {};
         logInfo("this control host leads", {{"term", std::to_string(m_status.term())}});
     }
     const Revision applied = m_node.applied();
@@ -189,8 +199,8 @@
     }
 }
 
-// Hosts that follow closely know the same revision, so one reply is built for all of them.
-const proto::SyncReply &SyncCalls::content(Revision since)
+// Hosts that follow closely know the same revision, so one part is built for all of them.
+const std::string &SyncCalls::content(Revision since)
 {
     if (m_contentRevision != m_objects.revision) {
         m_content.clear();
@@ -201,42 +211,64 @@
         return found->second;
     }
     bool snapshot = false;
-    proto::SyncReply &reply = m_content[since];
-    *reply.mutable_content() = m_node.contentSince(since, &snapshot);
-    if (reply.content().has_declaration()) {
-        reply.mutable_content()->mutable_declaration()->clear_original(); // only operators read it back
+    proto::SyncReply part;
+    *part.mutable_content() = m_node.contentSince(since, &snapshot);
+    if (part.content().has_declaration()) {
+        part.mutable_content()->mutable_declaration()->clear_original(); // only operators read it back
     }
-    reply.set_snapshot(snapshot);
-    return reply;
+    part.set_snapshot(snapshot);
+    return m_content[since] = packCommon(part);
 }
 
-void SyncCalls::answer(const Call &call, Time now)
+// Loads of the whole fleet and the members of the log.
+const std::string &SyncCalls::fleetState(Time now)
 {
-    const proto::Member &self = call.request.self();
-    if (m_liveness.superseded.contains(self.incarnation())) {
-        refuse(call, proto::ERROR_CONFLICT, "a later process joined as " + self.id());
-        callRefused(m_liveness, call.request);
-        return;
+    if (m_fleetStateAt != Time{} && now < m_fleetStateAt + fleetStateInterval) {
+        return m_fleetState;
     }
-    proto::SyncReply reply = content(call.request.known_revision());
+    proto::SyncReply part;
     for (const auto &load : roundedPools(m_loads, now)) {
-        *reply.add_pools() = load;
+        *part.add_pools() = load;
     }
     for (const auto &load : busyHosts(m_loads, now)) {
-        *reply.add_busy_hosts() = load;
+        *part.add_busy_hosts() = load;
     }
-    std::set<std::string> entryHosts;
-    for (const auto &[id, member] : m_objects.members) {
-        if (member.entry() && (member.state() == proto::MEMBER_LIVE || member.state() == proto::MEMBER_LEAVING)) {
-            entryHosts.insert(id);
+    m_serverLoads.addTo(part, now);
+    for (const auto &member : m_status.config().members()) {
+        part.add_control_hosts(member.rpc_address());
+    }
+    m_fleetState = packCommon(part);
+    m_fleetStateAt = now;
+    return m_fleetState;
+}
+
+const std::set<std::string> &SyncCalls::entryHosts()
+{
+    if (m_entryHostsRevision != m_objects.revision) {
+        m_entryHosts.clear();
+        m_entryHostsRevision = m_objects.revision;
+        for (const auto &[id, member] : m_objects.members) {
+            if (member.entry() && (member.state() == proto::MEMBER_LIVE || member.state() == proto::MEMBER_LEAVING)) {
+                m_entryHosts.insert(id);
+            }
         }
     }
-    for (const auto &share : m_shares.sharesFor(self.id(), m_objects.declaration, entryHosts, now)) {
-        *reply.add_shares() = share;
+    return m_entryHosts;
+}
+
+void SyncCalls::answer(const Call &call, Time now)
+{
+    const proto::Member &self = call.request.self();
+    if (m_liveness.superseded.contains(self.incarnation())) {
+        refuse(call, proto::ERROR_CONFLICT, "a later process joined as " + self.id());
+        callRefused(m_liveness, call.request);
+        return;
     }
-    m_serverLoads.addTo(reply, now);
-    for (const auto &member : m_status.config().members()) {
-        reply.add_control_hosts(member.rpc_address());
+    proto::SyncReply reply;
+    reply.add_common(content(call.request.known_revision()));
+    reply.add_common(fleetState(now));
+    for (const auto &share : m_shares.sharesFor(self.id(), m_objects.declaration, entryHosts(), now)) {
+        *reply.add_shares() = share;
     }
     reply.set_leader_address(m_status.leader_address());
     callAnswered(m_liveness, call.request, call.arrived);
--- a/control/sync.h
+++ b/control/sync.h
@@ -3,7 +3,9 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,7 +76,9 @@
     void answer(const Call &call, Time now);
     void refuse(const Call &call, proto::ErrorKind kind, const std::string &message);
     void refuseAll(const std::string &message);
-    const proto::SyncReply &content(Revision since);
+    const std::string &content(Revision since);
+    const std::string &fleetState(Time now);
+    const std::set<std::string> &entryHosts();
 
     asio::io_context &m_loop;
     Node &m_node;
@@ -91,8 +95,12 @@
     const RateTolerance m_tolerance;
     RateShares m_shares;
     ServerLoads m_serverLoads;
-    std::map<Revision, proto::SyncReply> m_content; // replies by known revision, for one table revision
+    std::map<Revision, std::string> m_content; // common parts by known revision, for one table revision
     Revision m_contentRevision = 0;
+    std::string m_fleetState; // common part
+    Time m_fleetStateAt{};
+    std::set<std::string> m_entryHosts; // that may serve callers
+    Revision m_entryHostsRevision = 0;
 };
 
 } // namespace banyanledge
--- a/decide/shares.h
+++ b/decide/shares.h
@@ -45,8 +45,9 @@
     // Takes the report of a host's Sync call. A host holds nothing but what it reports.
     void reported(const proto::SyncRequest &request, Time now);
 
-    // Shares of a host for its next answer. `hosts` are the live entry hosts; a leader that has not heard all of them
-    // yet raises no share until shareTerm has passed, because the others may hold the rest of the rate.
+    // Shares of a host for its next answer; customers without one are left out. `hosts` are the live entry hosts; a
+    // leader that has not heard all of them yet raises no share until shareTerm has passed, because the others may hold
+    // the rest of the rate.
     std::vector<proto::RateShare> sharesFor(const std::string &host, const proto::Declaration &declaration,
                                             const std::set<std::string> &hosts, Time now);
 
--- a/fleet/follower.cpp
+++ b/fleet/follower.cpp
@@ -11,8 +11,10 @@
 #include <thread>
 
 #include "banyanledge.grpc.pb.h"
+#include "base/error.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/packing.h"
 
 namespace banyanledge
 {
@@ -420,6 +422,9 @@
         // Notifies under the lock: the thread may destroy this object as soon as it sees `done` after stop().
         const std::lock_guard lock(mutex);
         started->status = std::move(status);
+        if (started->status.ok() && !unpackCommon(started->reply)) {
+            started->status = grpc::Status(grpc::StatusCode::DATA_LOSS, lastError().message);
+        }
         started->done = true;
         wake.notify_all();
     });
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway.h"
 
 #include <algorithm>
+#include <set>
 
 #include "base/log.h"
 #include "gateway/forward.h"
@@ -14,6 +15,9 @@
 // Most hosts that a look-up names.
 constexpr std::size_t mostHosts = 64;
 
+// Requests per second of a customer below which a host without a share does not report its demand.
+constexpr double leastDemand = 0.01;
+
 } // namespace
 
 class Gateway::Private : public GatewayState
@@ -37,8 +41,15 @@
 void Gateway::takeAnswer(const proto::SyncRequest &request, const proto::SyncReply &reply)
 {
     const Time now = Clock::now();
+    std::set<std::string> shared;
     for (const auto &share : reply.shares()) {
         d->buckets[share.customer()].setShare(share.rate(), share.burst(), now);
+        shared.insert(share.customer());
+    }
+    for (auto &[customer, bucket] : d->buckets) {
+        if (!shared.contains(customer)) {
+            bucket.setShare(0, 0, now);
+        }
     }
     d->noteFleetLoads(request, reply, now);
 }
@@ -47,6 +58,9 @@
 {
     const Time now = Clock::now();
     for (const auto &[customer, bucket] : d->buckets) {
+        if (bucket.share() <= 0 && bucket.demand(now) < leastDemand) {
+            continue;
+        }
         auto *use = request.add_rates();
         use->set_customer(customer);
         use->set_demand(bucket.demand(now));
--- a/tests/bench_sync.cpp
+++ b/tests/bench_sync.cpp
@@ -3,13 +3,12 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
-#include <zlib.h>
-
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
 #include <random>
 
+#include "base/packing.h"
 #include "control/sync.h"
 #include "ledger_group.h"
 
@@ -20,14 +19,6 @@
 
 constexpr std::uint64_t sampling = 100;
 
-double compressedBytes(const std::string &text)
-{
-    std::vector<unsigned char> buffer(compressBound(text.size()));
-    uLongf size = buffer.size();
-    compress(buffer.data(), &size, reinterpret_cast<const unsigned char *>(text.data()), text.size());
-    return static_cast<double>(size);
-}
-
 // Hosts that always have one call outstanding, all on the event loop's thread.
 class Hosts
 {
@@ -59,21 +50,22 @@
             load->set_latency_ms(static_cast<double>(m_random() % 1000000) / 1e4);
             load->set_warm(static_cast<double>(m_random() % 1000) / 1e3);
         }
-        m_sync.add(request, [this, id, known](const proto::SyncReply &reply) { answered(id, known, reply); });
+        m_sync.add(request, [this, id, known](proto::SyncReply reply) {
+            compressed += answers % sampling == 0 ? static_cast<double>(reply.ByteSizeLong()) : 0;
+            unpackCommon(reply);
+            answered(id, known, reply);
+        });
     }
 
     std::uint64_t answers = 0;
     double bytes = 0;
-    double compressed = 0; // of every hundredth answer, as gRPC compresses it
+    double compressed = 0; // of every hundredth answer, as sent
 
 private:
     void answered(const std::string &id, Revision known, const proto::SyncReply &reply)
     {
         ++answers;
         bytes += static_cast<double>(reply.ByteSizeLong());
-        if (answers % sampling == 1) {
-            compressed += compressedBytes(reply.SerializeAsString());
-        }
         const Revision next = std::max<Revision>(known, reply.content().revision());
         asio::post(m_loop, [this, id, next] { call(id, next); });
     }
--- a/tests/test_operators.cpp
+++ b/tests/test_operators.cpp
@@ -14,6 +14,7 @@
 #include "apps/declaration.h"
 #include "banyanledge.grpc.pb.h"
 #include "base/digest.h"
+#include "base/packing.h"
 #include "control/api.h"
 #include "control/host.h"
 #include "control/operators.h"
@@ -118,6 +119,7 @@
     context.set_deadline(std::chrono::system_clock::now() + std::chrono::seconds(10));
     proto::SyncReply reply;
     REQUIRE(m_stub->Sync(&context, request, &reply).ok());
+    REQUIRE(unpackCommon(reply));
     return reply;
 }
 
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -5,6 +5,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
+#include "base/packing.h"
 #include "control/sync.h"
 #include "ledger_group.h"
 
@@ -37,7 +38,10 @@
     {
         auto promise = std::make_shared<std::promise<proto::SyncReply>>();
         asio::post(m_loop, [this, request, promise] {
-            m_sync.add(request, [promise](const proto::SyncReply &reply) { promise->set_value(reply); });
+            m_sync.add(request, [promise](proto::SyncReply reply) {
+                unpackCommon(reply);
+                promise->set_value(reply);
+            });
         });
         return promise->get_future();
     }
@@ -150,3 +154,24 @@
     CHECK(reply.kind() == proto::ERROR_UNAVAILABLE);
     CHECK(reply.content().members_size() == 0);
 }
+
+// Compressing and copying a declaration once for each host kept the leader busy for longer than a change may take.
+TEST_CASE("common parts of an answer are merged, and damaged ones are refused")
+{
+    proto::SyncReply part;
+    part.mutable_content()->set_revision(7);
+    part.add_control_hosts("10.0.0.1:1");
+    proto::SyncReply reply;
+    reply.add_common(packCommon(part));
+    proto::SyncReply other;
+    other.add_servers()->set_server(3);
+    reply.add_common(packCommon(other));
+    proto::SyncReply damaged = reply;
+    damaged.mutable_common(0)->resize(damaged.common(0).size() / 2);
+    REQUIRE(unpackCommon(reply));
+    CHECK(reply.content().revision() == 7);
+    CHECK(reply.control_hosts_size() == 1);
+    CHECK(reply.servers_size() == 1);
+    CHECK(reply.common_size() == 0);
+    CHECK_FALSE(unpackCommon(damaged));
+}
