Token calls overlap, wait by the request's time left, and a silent leader is called so

Cause: a call that timed out after 250 ms was answered 429 'beyond its rate', which was not known; one call at a time made requests wait for up to two round trips. Change: up to three calls at once in a class of their own; a request waits for a quarter of its time left (250 to 600 ms); without an answer it is refused with 503 and its true reason. Tests: test_gateway (both fail before).

--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -49,6 +49,11 @@
 constexpr double queueStep = 0.25;
 constexpr double shortestQueue = 0.75;
 
+// Longest wait for a token of the leader: a part of the time left, within these bounds.
+constexpr int tokenPart = 4;
+constexpr milliseconds shortestTokenWait{250};
+constexpr milliseconds longestTokenWait{600};
+
 // When a refused caller should come back.
 constexpr milliseconds comeBackFull{250};
 constexpr milliseconds comeBackNotReady{500};
@@ -129,21 +134,33 @@
     m_tokenTaken = m_state.buckets[m_customer->name()].take(Clock::now());
     if (m_tokenTaken) {
         begin();
-    } else {
-        m_state.requestToken(m_customer->name(), [self = shared_from_this()](bool granted) { self->onToken(granted); });
+        return;
     }
+    m_state.tokens.request(m_customer->name(), [self = shared_from_this()](TokenGrant grant) { self->onToken(grant); });
+    const Duration patience =
+        std::clamp<Duration>(remaining(Clock::now()) / tokenPart, shortestTokenWait, longestTokenWait);
+    m_timer.expires_after(patience);
+    m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
+        if (!error) {
+            self->onToken(TokenGrant::Unknown);
+        }
+    });
 }
 
-void ForwardedRequest::onToken(bool granted)
+void ForwardedRequest::onToken(TokenGrant grant)
 {
-    if (m_done) {
+    if (m_done || m_tokenTaken) {
         return;
     }
-    m_tokenTaken = granted;
-    if (granted) {
+    m_tokenTaken = grant == TokenGrant::Granted;
+    if (m_tokenTaken) {
         begin();
         return;
     }
+    if (grant == TokenGrant::Unknown) {
+        refuse(503, "the control leader granted no token in time", comeBackFull);
+        return;
+    }
     const RateBucket &bucket = m_state.buckets[m_customer->name()];
     refuse(429, "the customer is beyond its rate", std::max<Duration>(bucket.wait(Clock::now()), comeBackFull));
 }
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -43,7 +43,7 @@
     bool admit();
     bool authenticate();
     void begin();
-    void onToken(bool granted);
+    void onToken(TokenGrant grant);
     void chooseRegions();
     void attempt();
     void send(const Target &target);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -3,7 +3,6 @@
 
 #include <asio/io_context.hpp>
 
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -11,6 +10,7 @@
 #include "base/types.h"
 #include "decide/view.h"
 #include "gateway/names.h"
+#include "gateway/tokens.h"
 #include "net/server.h"
 
 namespace banyanledge
@@ -25,8 +25,7 @@
         proto::GatewaySettings settings;
         WireNames names;
         // Asks the leader for tokens; the answer has to reach `done` on the loop's thread.
-        std::function<void(const proto::TakeTokensRequest &, std::function<void(const proto::TakeTokensReply &)>)>
-            takeTokens;
+        TokenCalls::Ask takeTokens;
     };
 
     Gateway(asio::io_context &loop, Options options);
--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -21,8 +21,8 @@
 // Time between copies of demand and shares for the next Sync call.
 constexpr milliseconds reportInterval{100};
 
-// Longest wait for tokens of the leader; a request that waits longer is refused.
-constexpr milliseconds tokenTimeout{250};
+// Longest call for tokens of the leader; no request waits longer.
+constexpr milliseconds tokenTimeout{600};
 
 // Time between looks at the requests in flight during a graceful shutdown.
 constexpr milliseconds drainInterval{20};
--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <unordered_map>
 
-#include "base/error.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "decide/hash.h"
@@ -42,6 +41,7 @@
     : loop(given)
     , options(std::move(givenOptions))
     , upstream(given, {options.names.requestId})
+    , tokens(options.host.id(), options.takeTokens)
     , random(randomId())
 {
 }
@@ -89,50 +89,6 @@
     }
 }
 
-void GatewayState::requestToken(const std::string &customer, std::function<void(bool)> done)
-{
-    m_tokenWaiters[customer].push_back(std::move(done));
-    askForTokens();
-}
-
-// One call at a time: requests that meet an empty share meanwhile go into the next one together.
-void GatewayState::askForTokens()
-{
-    if (!m_tokenAsked.empty() || m_tokenWaiters.empty()) {
-        return;
-    }
-    m_tokenAsked = std::exchange(m_tokenWaiters, {});
-    proto::TakeTokensRequest request;
-    request.set_host(options.host.id());
-    for (const auto &[customer, waiters] : m_tokenAsked) {
-        auto *want = request.add_wants();
-        want->set_customer(customer);
-        want->set_amount(static_cast<double>(waiters.size()));
-    }
-    options.takeTokens(request, [this](const proto::TakeTokensReply &reply) { takeTokenReply(reply); });
-}
-
-void GatewayState::takeTokenReply(const proto::TakeTokensReply &reply)
-{
-    const auto asked = std::exchange(m_tokenAsked, {});
-    std::map<std::string, double> granted;
-    for (const auto &amount : reply.granted()) {
-        granted[amount.customer()] += amount.amount();
-    }
-    if (reply.kind() != proto::ERROR_NONE) {
-        countMetric("banyanledge_gateway_token_calls_failed_total", {{"kind", kindName(reply.kind())}});
-    }
-    for (const auto &[customer, waiters] : asked) {
-        double &left = granted[customer];
-        for (const auto &done : waiters) {
-            const bool has = left >= 1;
-            left -= has ? 1 : 0;
-            done(has);
-        }
-    }
-    askForTokens();
-}
-
 void GatewayState::noteServers(Time now)
 {
     std::set<std::string> present;
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -15,6 +15,7 @@
 #include "decide/spill.h"
 #include "gateway/gateway.h"
 #include "gateway/routing.h"
+#include "gateway/tokens.h"
 #include "gateway/upstream.h"
 
 namespace banyanledge
@@ -59,9 +60,6 @@
     // Takes the sums of all hosts' requests in flight; `request` is this host's report that they include.
     void noteFleetLoads(const proto::SyncRequest &request, const proto::SyncReply &reply, Time now);
 
-    // Asks the leader for a token of a customer's rate; calls back once, later.
-    void requestToken(const std::string &customer, std::function<void(bool)> done);
-
     struct Search
     {
         const RoutedService *service = nullptr;
@@ -76,6 +74,7 @@
     asio::io_context &loop;
     const Gateway::Options options;
     Upstream upstream;
+    TokenCalls tokens;
     std::shared_ptr<const Routing> routing = Routing::build(std::make_shared<const View>());
     std::map<std::string, ServerState> servers;
     std::map<std::string, ServiceState> services;
@@ -87,16 +86,12 @@
     Time keptDistrustedUntil{}; // a kept connection died under a request shortly before
 
 private:
-    void askForTokens();
-    void takeTokenReply(const proto::TakeTokensReply &reply);
     void noteServers(Time now);
     std::vector<Candidate> candidates(const RoutedService &service, const std::string &region, Time now);
     double coldRate(const RoutedService &service, const RoutedServer &server) const;
     void updateSpillOf(const RoutedService &service, ServiceState &state, Time now);
     double regionLoad(const RoutedService &service, bool home, Time now);
 
-    std::map<std::string, std::vector<std::function<void(bool)>>> m_tokenWaiters; // by customer, not asked for yet
-    std::map<std::string, std::vector<std::function<void(bool)>>> m_tokenAsked; // by customer, of the call under way
     std::map<std::string, std::string> m_stamps; // of servers, as last seen
 };
 
--- a/tests/gateway_bed.cpp
+++ b/tests/gateway_bed.cpp
@@ -176,7 +176,8 @@
     settings.set_retry_slack(100);
     settings.set_warmup_overshoot(1);
     settings.set_largest_shift(0.15);
-    options.takeTokens = [this](const auto &, auto done) { asio::post(loop, [done] { done({}); }); };
+    takeTokens = [this](const auto &, auto done) { asio::post(loop, [done] { done({}); }); };
+    options.takeTokens = [this](const auto &request, auto done) { takeTokens(request, std::move(done)); };
     gateway = std::make_unique<Gateway>(loop, options);
     publish();
     HttpServer::Options frontOptions;
--- a/tests/gateway_bed.h
+++ b/tests/gateway_bed.h
@@ -110,6 +110,7 @@
     std::unique_ptr<HttpServer> front;
     std::string address;
     std::vector<std::string> evacuated; // zones; server N is in zone "zN"
+    TokenCalls::Ask takeTokens; // the leader's answer; grants nothing at first
 
 private:
     Revision m_revision = 0;
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -76,6 +76,54 @@
     CHECK(bed.servers[0].seen.at(0).header("Customer").empty());
 }
 
+// A leader that was slow was reported to callers as a customer beyond its rate.
+TEST_CASE("a request that gets no answer about its token is refused as such, and a late token doesn't run it")
+{
+    GatewayBed bed;
+    bed.declaration.mutable_customers(0)->set_rate(1);
+    bed.declaration.mutable_customers(0)->set_burst(1);
+    bed.publish();
+    std::function<void(const proto::TakeTokensReply &)> answer;
+    bed.takeTokens = [&answer](const auto &, auto done) { answer = std::move(done); };
+    const auto refused = bed.call(GatewayBed::request("safe", "a"));
+    CHECK(refused.status() == 503);
+    CHECK(refused.body == "the control leader granted no token in time\n");
+    CHECK_FALSE(refused.header("Retry-After").empty());
+    proto::TakeTokensReply late;
+    late.add_granted()->set_customer("cust");
+    late.mutable_granted(0)->set_amount(1);
+    answer(late);
+    bed.runFor(milliseconds(50));
+    CHECK(arrivals(bed) == 0);
+}
+
+// One call at a time made requests wait for up to two round trips to the leader.
+TEST_CASE("token calls overlap, and requests beyond a few calls ask together")
+{
+    std::vector<proto::TakeTokensRequest> calls;
+    std::vector<std::function<void(const proto::TakeTokensReply &)>> answers;
+    TokenCalls tokens("own", [&](const auto &request, auto done) {
+        calls.push_back(request);
+        answers.push_back(std::move(done));
+    });
+    std::vector<TokenGrant> grants;
+    for (int i = 0; i < 5; ++i) {
+        tokens.request("cust", [&grants](TokenGrant grant) { grants.push_back(grant); });
+    }
+    REQUIRE(calls.size() == 3);
+    CHECK(calls[0].wants(0).amount() == 1);
+    proto::TakeTokensReply reply;
+    reply.set_kind(proto::ERROR_UNAVAILABLE);
+    answers[0](reply);
+    REQUIRE(calls.size() == 4);
+    CHECK(calls[3].wants(0).amount() == 2);
+    reply.set_kind(proto::ERROR_NONE);
+    reply.add_granted()->set_customer("cust");
+    reply.mutable_granted(0)->set_amount(1);
+    answers[3](reply);
+    CHECK(grants == std::vector{TokenGrant::Unknown, TokenGrant::Granted, TokenGrant::Refused});
+}
+
 TEST_CASE("the longest prefix of the host wins")
 {
     GatewayBed bed;
