--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -13,6 +13,10 @@
 namespace banyanledge
 {
 
+// When a caller that was refused for want of room should come back.
+constexpr milliseconds comeBackFull{250};
+
+// forward.cpp holds admission and the end of a request, attempt.cpp its attempts at servers.
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
 {
 public:
