--- a/control/platform.cpp
+++ b/control/platform.cpp
@@ -4,7 +4,6 @@
 #include <google/protobuf/struct.pb.h>
 #include <google/protobuf/util/json_util.h>
 
-#include <algorithm>
 #include <cmath>
 #include <condition_variable>
 #include <mutex>
@@ -26,9 +25,6 @@
 // The longest list: 2,000 hosts of about 250 bytes, with a wide margin.
 constexpr std::size_t longestList = 8UL * 1024 * 1024;
 
-// A list of many pages is read less often: at least this much time for each call of a read.
-constexpr milliseconds timePerCall{80};
-
 // Longest poll; a platform that hangs must not delay the next poll for long.
 constexpr long pollTimeoutMs = 2000;
 
@@ -248,14 +244,10 @@
     bool failing = false;
     std::unique_lock lock(mutex);
     while (!stopping) {
-        const Time begun = Clock::now();
-        int calls = 0;
+        const Time next = Clock::now() + options.interval;
         lock.unlock();
         if (!options.wanted || options.wanted()) {
-            auto list = options.read([this, &calls](const std::string &url) {
-                ++calls;
-                return fetch(url);
-            });
+            auto list = options.read([this](const std::string &url) { return fetch(url); });
             countMetric("banyanledge_platform_polls_total", {{"result", list ? "ok" : "failed"}});
             if (!list && !failing) {
                 logWarning("the platform's list is lost", {{"reason", lastError().message}});
@@ -268,7 +260,7 @@
             }
         }
         lock.lock();
-        wake.wait_until(lock, begun + std::max(options.interval, calls * timePerCall), [this] { return stopping; });
+        wake.wait_until(lock, next, [this] { return stopping; });
     }
 }
 
