Place each attempt by the newest list of servers

Ruled out: an evacuation (none near); the time from the list to the table was not longer than the poll. Change: the search for a server uses the present copy of the table.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -63,8 +63,15 @@
 void ForwardedRequest::attempt()
 {
     const Time now = Clock::now();
+    // The newest servers, not those at the request's arrival: it may have waited for a token or an earlier attempt, and
+    // a server that leaves must get no new work.
+    m_placing = m_state.routing;
     GatewayState::Search search;
-    search.service = m_service;
+    search.service = m_placing->service(m_serviceName);
+    if (search.service == nullptr || search.service->declared == nullptr) {
+        giveUp("the service is no longer declared");
+        return;
+    }
     search.state = m_serviceState;
     search.regions = m_regions ? &*m_regions : nullptr;
     search.request.object = m_object;
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -97,6 +97,32 @@
     CHECK(arrivals(bed) == 0);
 }
 
+// A request that had waited for a token ran on a server 3.2 s after the list showed that it leaves.
+TEST_CASE("a request that waited is placed by the newest list of servers")
+{
+    GatewayBed bed(2);
+    scriptAll(bed,
+              [](const Connection &connection, const SeenRequest &request) { connection->answer(request, 200, "ok"); });
+    bed.declaration.mutable_customers(0)->set_rate(1);
+    bed.declaration.mutable_customers(0)->set_burst(1);
+    bed.publish();
+    proto::TakeTokensReply granted;
+    granted.add_granted()->set_customer("cust");
+    granted.mutable_granted(0)->set_amount(1);
+    bed.takeTokens = [&](const auto &, auto done) {
+        bed.evacuated = {"z0"};
+        bed.publish();
+        asio::post(bed.loop, [granted, done] { done(granted); });
+    };
+    for (int i = 0; i < 8; ++i) {
+        bed.evacuated.clear();
+        bed.publish();
+        CHECK(bed.call(GatewayBed::request("safe", "w" + std::to_string(i))).status() == 200);
+    }
+    CHECK(bed.servers[0].seen.empty());
+    CHECK(bed.servers[1].seen.size() == 8);
+}
+
 // One call at a time made requests wait for up to two round trips to the leader.
 TEST_CASE("token calls overlap, and requests beyond a few calls ask together")
 {
