--- a/base/packing.cpp
+++ b/base/packing.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-// Level of zlib. Higher ones take several times as long for a tenth less.
+// Fastest level of zlib, because all hosts wait while the leader packs a change.
 constexpr int fastCompression = 1;
 
 } // namespace
--- a/decide/hostload.cpp
+++ b/decide/hostload.cpp
@@ -18,8 +18,8 @@
 constexpr double keptFactor = 1.25;
 constexpr double keptRequests = 4; // per second
 
-// A connection carries several requests a second at most, so a part of the excess is enough to move it within seconds.
-constexpr double leaveSpeed = 0.5;
+// Part of the excess that is moved at once: the rate is an average over a second and shows the effect late.
+constexpr double rebalanceGain = 0.5;
 
 } // namespace
 
@@ -28,10 +28,10 @@
     return mbps <= 0 || answers.perSecond(now) < mbps * bytesPerMegabit * largestLinkPart;
 }
 
-double leavePart(double own, double mean)
+double rebalanceFraction(double own, double mean)
 {
     const double kept = mean * keptFactor + keptRequests;
-    return mean <= 0 || own <= kept ? 0 : std::min(1.0, leaveSpeed * (own - mean) / own);
+    return mean <= 0 || own <= kept ? 0 : std::min(1.0, rebalanceGain * (own - mean) / own);
 }
 
 } // namespace banyanledge
--- a/decide/hostload.h
+++ b/decide/hostload.h
@@ -15,6 +15,6 @@
 // host that it draws anew. Callers keep their connections; without this, hosts that outlived the others keep all the
 // load, and started ones get none. Rates are in requests per second, `mean` that of all hosts of the region; 0 is
 // unknown.
-double leavePart(double own, double mean);
+double rebalanceFraction(double own, double mean);
 
 } // namespace banyanledge
--- a/decide/shares.cpp
+++ b/decide/shares.cpp
@@ -110,13 +110,11 @@
             continue;
         }
         const RatePlan plan = ratePlan(customer, m_hosts, m_tolerance);
-        if (plan.shareRate <= 0 && !own.uses.contains(customer.name())) {
-            continue;
+        const auto held = own.uses.find(customer.name());
+        if (plan.shareRate <= 0 && (held == own.uses.end() || held->second.held <= 0)) {
+            continue; // pooled whole, and the host has no share left to give up
         }
         Use &use = own.uses[customer.name()];
-        if (plan.shareRate <= 0 && use.held <= 0) {
-            continue; // pooled whole; a host takes a share that is missing for none
-        }
         Use &sum = m_sums[customer.name()];
         const double even = 1.0 / static_cast<double>(m_hosts);
         const double byDemand = sum.demand > 0 ? std::max(0.0, use.demand) / sum.demand : even;
--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -65,9 +65,9 @@
     const Time now = Clock::now();
     // The newest servers, not those at the request's arrival: it may have waited for a token or an earlier attempt, and
     // a server that leaves must get no new work.
-    m_placing = m_state.routing;
+    m_latestRouting = m_state.routing;
     GatewayState::Search search;
-    search.service = m_placing->service(m_serviceName);
+    search.service = m_latestRouting->service(m_serviceName);
     if (search.service == nullptr || search.service->declared == nullptr) {
         giveUp("the service is no longer declared");
         return;
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -117,9 +117,9 @@
     const HttpRequest &request = m_call->request();
     const Time now = Clock::now();
     m_state.requests.add(1, now);
-    if (m_state.callerShouldLeave(now)) {
+    if (m_state.shouldRebalance(now)) {
         m_call->closeAfterAnswer();
-        countMetric("banyanledge_gateway_callers_sent_away_total");
+        countMetric("banyanledge_gateway_connections_rebalanced_total");
     }
     m_id = headerValue(request.head.headers, m_state.options.names.requestId);
     if (m_routing->version() == 0) {
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -73,7 +73,7 @@
     GatewayState &m_state;
     std::shared_ptr<HttpCall> m_call;
     std::shared_ptr<const Routing> m_routing; // at the request's arrival
-    std::shared_ptr<const Routing> m_placing; // of the last attempt; holds its target
+    std::shared_ptr<const Routing> m_latestRouting; // of the last attempt; holds its target
     const proto::DeclaredRoute *m_route = nullptr;
     const proto::DeclaredCustomer *m_customer = nullptr;
     const RoutedService *m_service = nullptr;
--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -132,9 +132,10 @@
     });
 }
 
-bool GatewayState::callerShouldLeave(Time now)
+bool GatewayState::shouldRebalance(Time now)
 {
-    return std::uniform_real_distribution<double>()(random) < leavePart(requests.perSecond(now), regionRequestRate);
+    return std::uniform_real_distribution<double>()(random)
+        < rebalanceFraction(requests.perSecond(now), regionRequestRate);
 }
 
 std::uint32_t shortHash(const std::string &server)
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -73,7 +73,7 @@
 
     // Whether the present answer should be the last one on its connection, because this host has more than its part of
     // the callers.
-    bool callerShouldLeave(Time now);
+    bool shouldRebalance(Time now);
 
     asio::io_context &loop;
     const Gateway::Options options;
--- a/tests/test_hostlimits.cpp
+++ b/tests/test_hostlimits.cpp
@@ -91,7 +91,7 @@
             }
             RateAverage &own = rates[hostOf[i]];
             own.add(1, now);
-            if (draw(random) < leavePart(own.perSecond(now), callers * eachPerSecond / hosts)) {
+            if (draw(random) < rebalanceFraction(own.perSecond(now), callers * eachPerSecond / hosts)) {
                 hostOf[i] = random() % hosts;
                 ++moved;
                 movedLate += step >= steps / 2 ? 1 : 0;
@@ -105,7 +105,7 @@
     CHECK(*std::max_element(count.begin(), count.end()) <= 2 * callers / hosts);
     CHECK(*std::min_element(count.begin(), count.end()) >= callers / hosts / 2);
     CHECK(movedLate < callers / 4);
-    CHECK(leavePart(100, 0) == 0);
+    CHECK(rebalanceFraction(100, 0) == 0);
 }
 
 // Retries of all hosts together must stay below the ratio and the slack of the service.
