Give connections and calls between distant hosts the time that they need

Cause: on the size service (55 ms one way between regions) no control leader was ever elected, so no request was served. In gRPC the argument for the minimum reconnect backoff is also the time that an attempt to connect gets; four clients set 50 or 20 ms, while TCP and the HTTP/2 settings take two round trips of 110 ms. Two causes behind it were read from the code and shown by the new tests: a call to the leader was given up after 400 ms and its connection replaced, so that at 150 ms one way no attempt could succeed; and with one outstanding Raft call for each member a commit took several round trips. In the simulation at 150 ms the candidates of a new group split their votes for 8 s and longer.

Ruled out: 1,000 ms as the value of the backoff (trial of the issue); it works, but a backoff and a connect timeout are two things, and the four copies of the arguments stay.

Change: ChannelCache in base/channel opens all channels, with a connect timeout of its own, and replaces a channel after a failed call only once it had time to connect. CallTimeout follows the time that replies of the leader take. After failed elections the random part of the election timeout doubles; entries are sent again after an election timeout without progress and not at once after an idle time.

Tests that fail without it: test_latency (three control hosts and an entry host behind relays of 55 and 150 ms), test_raft "members 55 and 150 ms apart". test_control covers CallTimeout.

--- a/control/leader.cpp
+++ b/control/leader.cpp
@@ -7,6 +7,8 @@
 #include <thread>
 
 #include "banyanledge.grpc.pb.h"
+#include "base/channel.h"
+#include "decide/calltimeout.h"
 
 namespace banyanledge
 {
@@ -19,8 +21,10 @@
 // Pause before the next attempt. An election lasts for several such pauses.
 constexpr milliseconds retryInterval{50};
 
-// Timeout of one attempt. An unresponsive leader leaves enough time for calls to its successor.
-constexpr milliseconds attemptTimeout{400};
+// Bounds of the timeout of one attempt. With the shortest one, an unresponsive leader leaves enough time for calls to
+// its successor. The longest one covers the round trips of the call and of the commit to distant members.
+constexpr milliseconds minAttemptTimeout{400};
+constexpr milliseconds maxAttemptTimeout{1600};
 
 const proto::CommandResult &resultOf(const proto::ProposeReply &reply)
 {
@@ -38,33 +42,56 @@
 {
 public:
     std::function<std::string()> leaderAddress;
+    ChannelCache channels;
     std::mutex mutex;
-    std::map<std::string, std::shared_ptr<Stub>> stubs;
+    std::map<std::string, CallTimeout> timeouts; // of attempts, by address; guarded by mutex
 
-    std::shared_ptr<Stub> stub(const std::string &address);
+    Duration attemptTimeout(const std::string &address);
+    void recordAttempt(const std::string &address, const grpc::Status &status, Duration took);
+
+    // One attempt at a host.
+    template<typename Request, typename Reply>
+    bool attempt(grpc::Status (Stub::*method)(grpc::ClientContext *, const Request &, Reply *),
+                 const std::string &address, const Request &request, Reply &reply, Time deadline);
 
     template<typename Request, typename Reply>
     bool call(grpc::Status (Stub::*method)(grpc::ClientContext *, const Request &, Reply *), const Request &request,
               Reply &reply, Time deadline);
 };
 
-std::shared_ptr<Stub> LeaderClient::Private::stub(const std::string &address)
+Duration LeaderClient::Private::attemptTimeout(const std::string &address)
+{
+    const std::lock_guard lock(mutex);
+    return timeouts.try_emplace(address, minAttemptTimeout, maxAttemptTimeout).first->second.value();
+}
+
+void LeaderClient::Private::recordAttempt(const std::string &address, const grpc::Status &status, Duration took)
 {
+    if (!status.ok()) {
+        channels.recordFailure(address, Clock::now());
+    }
     const std::lock_guard lock(mutex);
-    auto &found = stubs[address];
-    if (!found) {
-        grpc::ChannelArguments arguments;
-        arguments.SetMaxReceiveMessageSize(-1);
-        // By default, gRPC channels to one address share a connection. A new channel would then reuse a connection that
-        // no longer delivers anything.
-        arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-        arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 50);
-        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 50);
-        arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 200);
-        found =
-            proto::Control::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
+    CallTimeout &timeout = timeouts.at(address);
+    if (status.ok()) {
+        timeout.recordReply(took);
+    } else if (status.error_code() == grpc::StatusCode::DEADLINE_EXCEEDED && took >= timeout.value()) {
+        timeout.recordTimeout();
     }
-    return found;
+}
+
+template<typename Request, typename Reply>
+bool LeaderClient::Private::attempt(grpc::Status (Stub::*method)(grpc::ClientContext *, const Request &, Reply *),
+                                    const std::string &address, const Request &request, Reply &reply, Time deadline)
+{
+    const Time start = Clock::now();
+    const Duration timeout = std::min(attemptTimeout(address), deadline - start);
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now()
+                         + std::chrono::duration_cast<std::chrono::system_clock::duration>(timeout));
+    const auto stub = proto::Control::NewStub(channels.channel(address, start));
+    const grpc::Status status = ((*stub).*method)(&context, request, &reply);
+    recordAttempt(address, status, Clock::now() - start);
+    return status.ok();
 }
 
 // Calls the leader until it answers with a result other than ERROR_UNAVAILABLE. Returns false at the deadline.
@@ -77,19 +104,12 @@
         const std::string address = leaderHint.empty() ? leaderAddress() : leaderHint;
         leaderHint.clear();
         if (!address.empty()) {
-            grpc::ClientContext context;
-            const Duration timeout = std::min<Duration>(attemptTimeout, deadline - Clock::now());
-            context.set_deadline(std::chrono::system_clock::now()
-                                 + std::chrono::duration_cast<std::chrono::system_clock::duration>(timeout));
             reply.Clear();
-            if (((*stub(address)).*method)(&context, request, &reply).ok()) {
+            if (attempt(method, address, request, reply, deadline)) {
                 if (resultOf(reply).kind() != proto::ERROR_UNAVAILABLE) {
                     return true;
                 }
                 leaderHint = reply.leader_address() == address ? "" : reply.leader_address();
-            } else {
-                const std::lock_guard lock(mutex);
-                stubs.erase(address); // the connection may be dead, so the next attempt opens another one
             }
         }
         std::this_thread::sleep_for(std::min<Duration>(retryInterval, std::max(Duration{}, deadline - Clock::now())));
@@ -143,11 +163,7 @@
     if (address.empty()) {
         return reply;
     }
-    grpc::ClientContext context;
-    context.set_deadline(std::chrono::system_clock::now()
-                         + std::chrono::duration_cast<std::chrono::system_clock::duration>(
-                             std::min<Duration>(attemptTimeout, deadline - Clock::now())));
-    if (!d->stub(address)->Status(&context, {}, &reply).ok()) {
+    if (!d->attempt(&Stub::Status, address, proto::StatusRequest(), reply, deadline)) {
         reply.Clear();
     }
     return reply;
--- a/control/peers.h
+++ b/control/peers.h
@@ -15,12 +15,11 @@
     RaftPeers();
     ~RaftPeers();
 
-    // Sets the address of a member. Messages to unknown members are dropped, which Raft tolerates. While a call to the
-    // member is outstanding a changed address is ignored and has to be set again later.
+    // Sets the address of a member. Messages to unknown members are dropped, which Raft tolerates.
     void setAddress(const std::string &id, const std::string &address);
 
-    // Queues a message. At most one call to each member is outstanding; the next call sends all messages queued until
-    // then.
+    // Sends a message in a call of its own, or together with others once one of several outstanding calls has ended.
+    // Messages may arrive in another order.
     void send(const proto::RaftMessage &message);
 
     // Drops the queued messages, cancels the outstanding calls and waits until they have ended.
--- a/fleet/controlclient.cpp
+++ b/fleet/controlclient.cpp
@@ -1,16 +1,13 @@
 #include "fleet/controlclient.h"
 
-#include <grpcpp/create_channel.h>
-#include <grpcpp/security/credentials.h>
-
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
-#include <deque>
 #include <mutex>
 #include <thread>
 
 #include "banyanledge.grpc.pb.h"
+#include "base/channel.h"
 #include "base/error.h"
 #include "base/log.h"
 #include "base/metrics.h"
@@ -37,26 +34,9 @@
 // Delay before the next Sync or Propose call after a failed one.
 constexpr milliseconds retryDelay{20};
 
-// Number of replaced channels that are kept alive for their outstanding calls.
-constexpr std::size_t maxRetiredChannels = 16;
-
 // Timeout of a Propose call. The command is then sent again, to the leader known at that time.
 constexpr milliseconds proposeTimeout{1000};
 
-std::shared_ptr<grpc::Channel> openChannel(const std::string &address)
-{
-    grpc::ChannelArguments arguments;
-    // The default reconnect backoff of 1 s and more would outlast a freshness lease.
-    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 50);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 50);
-    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 200);
-    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-    // Without it, channels to the same address share a connection, which may be dead without an error.
-    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-    arguments.SetMaxReceiveMessageSize(-1);
-    return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments);
-}
-
 std::chrono::system_clock::time_point systemClockDeadline(Duration remaining)
 {
     return std::chrono::system_clock::now()
@@ -121,7 +101,6 @@
     std::shared_ptr<SyncCall> startCall();
     void finishCall(SyncCall &finished);
     bool apply(const SyncCall &finished);
-    void retireChannel(const std::string &address);
     void logSyncFailure(const SyncCall &failed);
     void switchHost(const std::string &failed, const std::string &leaderAddress);
     std::unique_ptr<proto::Control::Stub> stubFor(const std::string &address);
@@ -150,8 +129,7 @@
     std::map<std::string, double> hostLoads; // of busy hosts, by id
     int outstandingCalls = 0; // of propose() and takeTokens()
     bool lastSyncFailed = false; // the last Sync call failed; used on this client's thread only
-    std::map<std::string, std::shared_ptr<grpc::Channel>> channels;
-    std::deque<std::shared_ptr<grpc::Channel>> retiredChannels; // may have outstanding calls
+    ChannelCache channels;
 
     std::atomic<std::shared_ptr<const View>> view{std::make_shared<const View>()};
     std::atomic<Time> freshUntil{Time::min()};
@@ -394,12 +372,7 @@
 
 std::unique_ptr<proto::Control::Stub> ControlClient::Private::stubFor(const std::string &address)
 {
-    const std::lock_guard lock(mutex);
-    auto &channel = channels[address];
-    if (!channel) {
-        channel = openChannel(address);
-    }
-    return proto::Control::NewStub(channel);
+    return proto::Control::NewStub(channels.channel(address, Clock::now()));
 }
 
 std::shared_ptr<SyncCall> ControlClient::Private::startCall()
@@ -443,9 +416,7 @@
         if (!cancelledHere) {
             logSyncFailure(finished);
             if (!finished.status.ok()) {
-                // The connection may be dead without an error, so the next call opens another one.
-                const std::lock_guard lock(mutex);
-                retireChannel(finished.address);
+                channels.recordFailure(finished.address, Clock::now());
             }
             switchHost(finished.address, finished.reply.leader_address());
         }
@@ -461,20 +432,6 @@
     }
 }
 
-// Takes the channel out of use, so that the next call opens another one. The caller holds the mutex. A channel must
-// outlive its calls; every call ends before maxRetiredChannels further channels are replaced.
-void ControlClient::Private::retireChannel(const std::string &address)
-{
-    const auto found = channels.find(address);
-    if (found != channels.end()) {
-        retiredChannels.push_back(std::move(found->second));
-        channels.erase(found);
-    }
-    if (retiredChannels.size() > maxRetiredChannels) {
-        retiredChannels.pop_front();
-    }
-}
-
 // Logs the first of several failed calls in a row.
 void ControlClient::Private::logSyncFailure(const SyncCall &failed)
 {
--- a/fleet/ownerclient.cpp
+++ b/fleet/ownerclient.cpp
@@ -3,15 +3,6 @@
 namespace banyanledge
 {
 
-namespace
-{
-
-// Reconnect backoff; short, so that a restarted host is reached soon.
-constexpr int minReconnectMs = 20;
-constexpr int maxReconnectMs = 500;
-
-} // namespace
-
 OwnerClient::~OwnerClient()
 {
     stop();
@@ -27,22 +18,6 @@
     m_callEnded.wait(lock, [this] { return m_contexts.empty(); });
 }
 
-std::shared_ptr<proto::Owner::Stub> OwnerClient::stub(const std::string &address)
-{
-    std::shared_ptr<proto::Owner::Stub> &stub = m_stubs[address];
-    if (stub == nullptr) {
-        grpc::ChannelArguments arguments;
-        arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, minReconnectMs);
-        arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, minReconnectMs);
-        arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, maxReconnectMs);
-        arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-        arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
-        arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-        stub = proto::Owner::NewStub(grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), arguments));
-    }
-    return stub;
-}
-
 template<typename Request, typename Reply, typename Start>
 void OwnerClient::call(const std::string &address, const Request &request, Duration timeout,
                        std::function<void(const Reply *)> done, Start start)
@@ -52,7 +27,7 @@
         grpc::ClientContext context;
         Request request;
         Reply reply;
-        std::shared_ptr<proto::Owner::Stub> stub;
+        std::unique_ptr<proto::Owner::Stub> stub;
     };
     auto call = std::make_shared<Call>();
     call->request = request;
@@ -61,7 +36,7 @@
     {
         const std::lock_guard lock(m_mutex);
         if (!m_stopped && !address.empty()) {
-            call->stub = stub(address);
+            call->stub = proto::Owner::NewStub(m_channels.channel(address, Clock::now()));
             m_contexts.insert(&call->context);
         }
     }
--- a/fleet/ownerclient.h
+++ b/fleet/ownerclient.h
@@ -3,7 +3,6 @@
 
 #include <condition_variable>
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -12,6 +11,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include "banyanledge.grpc.pb.h"
+#include "base/channel.h"
 #include "base/types.h"
 
 namespace banyanledge
@@ -46,12 +46,11 @@
     template<typename Request, typename Reply, typename Start>
     void call(const std::string &address, const Request &request, Duration timeout,
               std::function<void(const Reply *)> done, Start start);
-    std::shared_ptr<proto::Owner::Stub> stub(const std::string &address);
 
     std::mutex m_mutex;
     std::condition_variable m_callEnded;
     bool m_stopped = false;
-    std::map<std::string, std::shared_ptr<proto::Owner::Stub>> m_stubs; // by address
+    ChannelCache m_channels;
     std::set<grpc::ClientContext *> m_contexts; // of outstanding calls
 };
 
--- a/ledger/raft.cpp
+++ b/ledger/raft.cpp
@@ -7,6 +7,14 @@
 namespace banyanledge
 {
 
+namespace
+{
+
+// Limit on the doublings of the random part of the election timeout.
+constexpr unsigned maxRangeDoublings = 3;
+
+} // namespace
+
 bool RaftOutput::empty() const
 {
     return !hardState && entries.empty() && !snapshot && messages.empty() && heartbeats.empty()
@@ -66,9 +74,12 @@
     return result;
 }
 
+// Between distant members an election takes a large part of the election timeout, so that candidates often split the
+// votes. Each failed election doubles the range of the random part, so that one of them starts well before the others.
 void Raft::resetElectionDeadline(Time now)
 {
-    std::uniform_int_distribution<Duration::rep> extra(0, m_options.electionTimeout.count());
+    const auto range = m_options.electionTimeout.count() << std::min(m_failedElections, maxRangeDoublings);
+    std::uniform_int_distribution<Duration::rep> extra(0, range);
     m_electionDeadline = now + m_options.electionTimeout + Duration(extra(m_random));
 }
 
@@ -83,6 +94,7 @@
     }
     m_role = Role::Follower;
     m_leader = leader;
+    m_failedElections = leader.empty() ? m_failedElections : 0;
     m_votes.clear();
     m_progress.clear();
     m_newIdentities.clear();
@@ -100,6 +112,7 @@
         return;
     }
     if (now >= m_electionDeadline) {
+        m_failedElections += m_leader.empty() ? 1 : 0;
         resetElectionDeadline(now);
         if (canCampaign()) {
             campaign(Role::PreCandidate, now);
@@ -172,6 +185,7 @@
 {
     m_role = Role::Leader;
     m_leader = m_options.id;
+    m_failedElections = 0;
     m_progress.clear();
     rebuildProgress(now);
     proto::LogEntry entry;
--- a/ledger/raft.h
+++ b/ledger/raft.h
@@ -23,7 +23,8 @@
     std::string id; // id of this member
     std::string identity; // identity of this member's data folder
     Duration heartbeatInterval = milliseconds(50);
-    Duration electionTimeout = milliseconds(300); // minimum; each timeout is chosen at random from once to twice this
+    // Minimum; each timeout is chosen at random from once to twice this, and from a wider range after failed elections.
+    Duration electionTimeout = milliseconds(300);
     std::uint64_t seed = 0; // seed of the random election timeouts
     // The leader removes a voter that has not answered for this long, if that makes the quorum smaller and the quorum
     // stays at least minQuorum. Without this, a replaced host would stay in the group as a dead voter. 0 disables it.
@@ -188,6 +189,7 @@
     std::string m_leader;
     Time m_lastLeaderContact{};
     Time m_electionDeadline{};
+    unsigned m_failedElections = 0; // in a row, since a leader was last known
     Time m_nextHeartbeat{};
     std::mt19937_64 m_random;
     std::map<std::string, std::string> m_votes; // granted votes: identity by voter
--- a/ledger/raftleader.cpp
+++ b/ledger/raftleader.cpp
@@ -21,9 +21,6 @@
 // Time after which an unacknowledged snapshot is sent again.
 constexpr milliseconds snapshotTimeout{5000};
 
-// Number of heartbeat intervals without progress after which unacknowledged entries are sent again.
-constexpr int resendAfterHeartbeats = 4;
-
 std::size_t voterCount(const proto::LogConfig &config)
 {
     const auto &members = config.members();
@@ -308,8 +305,10 @@
 
 void Raft::replicateTo(const std::string &id, Progress &progress, Time now)
 {
-    if (progress.next > progress.match + 1
-        && now > progress.lastProgress + resendAfterHeartbeats * m_options.heartbeatInterval) {
+    const bool unacknowledged = progress.next > progress.match + 1;
+    if (!unacknowledged) {
+        progress.lastProgress = std::max(progress.lastProgress, now);
+    } else if (now > progress.lastProgress + m_options.electionTimeout) {
         progress.next = std::max(progress.match, m_log.baseIndex()) + 1;
         progress.windowStart = progress.next;
         progress.lastProgress = now;
--- a/tests/raft_simulation.cpp
+++ b/tests/raft_simulation.cpp
@@ -100,6 +100,8 @@
     RaftOptions options;
     options.id = member.id;
     options.identity = member.identity;
+    // An election takes two round trips, one for the pre-votes and one for the votes.
+    options.electionTimeout = std::max<Duration>(options.electionTimeout, 4 * m_faults.latency);
     options.seed = m_random();
     setClock(member, chance(m_faults.slowClock) ? slowClockRate : 1);
     member.raft = std::make_unique<Raft>(options, state, localTime(member));
@@ -133,7 +135,7 @@
 void SimulatedGroup::send(const proto::RaftMessage &message)
 {
     const auto delay = [this] {
-        return randomDuration(chance(m_faults.delayed) ? milliseconds(400) : milliseconds(5));
+        return m_faults.latency + randomDuration(chance(m_faults.delayed) ? milliseconds(400) : milliseconds(5));
     };
     if (!chance(m_faults.loss)) {
         m_network.emplace(m_now + delay(), message);
--- a/tests/raft_simulation.h
+++ b/tests/raft_simulation.h
@@ -21,6 +21,7 @@
 // Probabilities of faults, per message, per sync or per 5 ms step.
 struct FaultRates
 {
+    milliseconds latency{}; // one way, of every message
     double loss = 0; // per message
     double duplicate = 0; // per message
     double delayed = 0; // per message: a delay of up to 400 ms instead of up to 5 ms
--- a/tests/relay.cpp
+++ b/tests/relay.cpp
@@ -15,9 +15,19 @@
 
 } // namespace
 
+Relay::Direction::Direction(asio::io_context &context, asio::ip::tcp::socket &from, asio::ip::tcp::socket &to)
+    : from(from)
+    , to(to)
+    , timer(context)
+{
+}
+
 Relay::Session::Session(asio::io_context &context)
     : client(context)
     , target(context)
+    , connectTimer(context)
+    , toTarget(context, client, target)
+    , toClient(context, target, client)
 {
 }
 
@@ -26,16 +36,27 @@
     asio::error_code ignored;
     client.close(ignored);
     target.close(ignored);
+    connectTimer.cancel();
+    toTarget.timer.cancel();
+    toClient.timer.cancel();
 }
 
-Relay::Relay(asio::io_context &context, const std::string &listenAddress, const std::string &targetAddress)
+Relay::Relay(asio::io_context &context, const std::string &listenAddress, const std::string &targetAddress,
+             std::chrono::milliseconds oneWayDelay)
     : m_context(context)
     , m_acceptor(context, parseEndpoint(listenAddress))
     , m_target(parseEndpoint(targetAddress))
+    , m_oneWayDelay(oneWayDelay)
 {
     accept();
 }
 
+std::string Relay::address() const
+{
+    const auto endpoint = m_acceptor.local_endpoint();
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 void Relay::partition()
 {
     m_partitioned = true;
@@ -50,6 +71,12 @@
     m_sessions.clear();
 }
 
+void Relay::close(const SessionPtr &session)
+{
+    session->close();
+    m_sessions.erase(session);
+}
+
 void Relay::accept()
 {
     const auto session = std::make_shared<Session>(m_context);
@@ -58,44 +85,69 @@
             return;
         }
         m_sessions.insert(session);
-        session->target.async_connect(m_target, [this, session](const asio::error_code &connectError) {
-            if (connectError) {
-                session->close();
-                m_sessions.erase(session);
-                return;
+        session->connectTimer.expires_after(2 * m_oneWayDelay);
+        session->connectTimer.async_wait([this, session](const asio::error_code &cancelled) {
+            if (!cancelled) {
+                connect(session);
             }
-            session->client.set_option(asio::ip::tcp::no_delay(true));
-            session->target.set_option(asio::ip::tcp::no_delay(true));
-            forward(session, session->client, session->target, session->toTarget);
-            forward(session, session->target, session->client, session->toClient);
         });
         accept();
     });
 }
 
-void Relay::forward(const SessionPtr &session, asio::ip::tcp::socket &from, asio::ip::tcp::socket &to, Buffer &buffer)
+void Relay::connect(const SessionPtr &session)
 {
-    from.async_read_some(
-        asio::buffer(buffer), [=, this, &from, &to, &buffer](const asio::error_code &error, std::size_t size) {
+    session->target.async_connect(m_target, [this, session](const asio::error_code &error) {
+        if (error) {
+            close(session);
+            return;
+        }
+        session->client.set_option(asio::ip::tcp::no_delay(true));
+        session->target.set_option(asio::ip::tcp::no_delay(true));
+        read(session, session->toTarget);
+        read(session, session->toClient);
+    });
+}
+
+void Relay::read(const SessionPtr &session, Direction &direction)
+{
+    direction.from.async_read_some(
+        asio::buffer(direction.buffer), [this, session, &direction](const asio::error_code &error, std::size_t size) {
             if (error) {
-                session->close();
-                m_sessions.erase(session);
+                close(session);
                 return;
             }
-            if (m_partitioned) {
-                forward(session, from, to, buffer);
-                return;
+            if (!m_partitioned) {
+                direction.chunks.push_back({std::chrono::steady_clock::now() + m_oneWayDelay,
+                                            std::string(direction.buffer.data(), size)});
+                write(session, direction);
             }
-            asio::async_write(to, asio::buffer(buffer.data(), size),
-                              [=, this, &from, &to, &buffer](const asio::error_code &writeError, std::size_t) {
-                                  if (writeError) {
-                                      session->close();
-                                      m_sessions.erase(session);
-                                  } else {
-                                      forward(session, from, to, buffer);
-                                  }
-                              });
+            read(session, direction);
         });
 }
 
+void Relay::write(const SessionPtr &session, Direction &direction)
+{
+    if (direction.writing || direction.chunks.empty()) {
+        return;
+    }
+    direction.writing = true;
+    direction.timer.expires_at(direction.chunks.front().due);
+    direction.timer.async_wait([this, session, &direction](const asio::error_code &cancelled) {
+        if (cancelled) {
+            return;
+        }
+        asio::async_write(direction.to, asio::buffer(direction.chunks.front().bytes),
+                          [this, session, &direction](const asio::error_code &error, std::size_t) {
+                              if (error) {
+                                  close(session);
+                                  return;
+                              }
+                              direction.writing = false;
+                              direction.chunks.pop_front();
+                              write(session, direction);
+                          });
+    });
+}
+
 } // namespace banyanledge::standin
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -1,7 +1,10 @@
-// TCP relay that simulates a network partition: connections stay open, but no bytes are forwarded.
+// TCP relay that simulates a distant host or a network partition, in which connections stay open but no bytes are
+// forwarded.
 #pragma once
 
 #include <array>
+#include <chrono>
+#include <deque>
 #include <memory>
 #include <set>
 #include <string>
@@ -15,8 +18,13 @@
 class Relay
 {
 public:
-    // Accepts connections on one address and forwards them to the other; both are IP:PORT.
-    Relay(asio::io_context &context, const std::string &listenAddress, const std::string &targetAddress);
+    // Accepts connections on one address and forwards them to the other; both are IP:PORT. Every byte arrives
+    // `oneWayDelay` later, and a new connection is forwarded after a round trip.
+    Relay(asio::io_context &context, const std::string &listenAddress, const std::string &targetAddress,
+          std::chrono::milliseconds oneWayDelay = {});
+
+    // Address that the relay listens on; for a listenAddress with port 0.
+    std::string address() const;
 
     // Drops all received bytes in both directions from now on. New connections are still accepted.
     void partition();
@@ -25,6 +33,26 @@
     void heal();
 
 private:
+    // Bytes on their way, and the time at which they arrive.
+    struct Chunk
+    {
+        std::chrono::steady_clock::time_point due;
+        std::string bytes;
+    };
+
+    // One direction of a relayed connection.
+    struct Direction
+    {
+        Direction(asio::io_context &context, asio::ip::tcp::socket &from, asio::ip::tcp::socket &to);
+
+        asio::ip::tcp::socket &from;
+        asio::ip::tcp::socket &to;
+        asio::steady_timer timer;
+        std::array<char, 16384> buffer{};
+        std::deque<Chunk> chunks;
+        bool writing = false;
+    };
+
     // One relayed connection.
     struct Session
     {
@@ -33,20 +61,26 @@
 
         asio::ip::tcp::socket client;
         asio::ip::tcp::socket target;
-        std::array<char, 16384> toTarget{};
-        std::array<char, 16384> toClient{};
+        asio::steady_timer connectTimer;
+        Direction toTarget;
+        Direction toClient;
     };
     using SessionPtr = std::shared_ptr<Session>;
-    using Buffer = std::array<char, 16384>;
 
     void accept();
+    void connect(const SessionPtr &session);
+    void close(const SessionPtr &session);
+
+    // Reads from one socket until either fails, then closes the session.
+    void read(const SessionPtr &session, Direction &direction);
 
-    // Copies bytes from one socket to the other until either fails, then closes the session.
-    void forward(const SessionPtr &session, asio::ip::tcp::socket &from, asio::ip::tcp::socket &to, Buffer &buffer);
+    // Writes the chunks to the other socket when they are due.
+    void write(const SessionPtr &session, Direction &direction);
 
     asio::io_context &m_context;
     asio::ip::tcp::acceptor m_acceptor;
     asio::ip::tcp::endpoint m_target;
+    std::chrono::milliseconds m_oneWayDelay;
     std::set<SessionPtr> m_sessions;
     bool m_partitioned = false;
 };
--- a/tests/test_control.cpp
+++ b/tests/test_control.cpp
@@ -6,6 +6,7 @@
 #include "control/platform.h"
 #include "control/serverloads.h"
 #include "control/shifts.h"
+#include "decide/calltimeout.h"
 
 using namespace banyanledge;
 
@@ -437,3 +438,20 @@
     CHECK(sum(now + milliseconds(2100)) == 1);
     CHECK(sum(now + milliseconds(4000)) == 0);
 }
+
+// Guards against a fixed timeout that is shorter than a round trip to a distant host, so that no call to it succeeds.
+TEST_CASE("a call timeout grows until replies arrive in time and shrinks when they are fast")
+{
+    CallTimeout timeout(milliseconds(400), milliseconds(1600));
+    CHECK(timeout.value() == milliseconds(400));
+    timeout.recordTimeout();
+    CHECK(timeout.value() == milliseconds(800));
+    timeout.recordReply(milliseconds(600));
+    CHECK(timeout.value() == milliseconds(1600));
+    timeout.recordTimeout();
+    CHECK(timeout.value() == milliseconds(1600));
+    for (int i = 0; i < 20; ++i) {
+        timeout.recordReply(milliseconds(10));
+    }
+    CHECK(timeout.value() == milliseconds(400));
+}
--- /dev/null
+++ b/tests/test_latency.cpp
@@ -0,0 +1,167 @@
+// Control hosts and their clients behind relays that delay each byte, as between distant regions.
+#include <catch2/catch.hpp>
+
+#include <grpcpp/grpcpp.h>
+
+#include <filesystem>
+#include <thread>
+
+#include <asio.hpp>
+
+#include "banyanledge.grpc.pb.h"
+#include "control/host.h"
+#include "control/leader.h"
+#include "fleet/controlclient.h"
+#include "ledger_group.h"
+#include "relay.h"
+
+using namespace banyanledge;
+
+namespace
+{
+
+constexpr int memberCount = 3;
+
+// Time until a group that has just started has a leader and accepts a change. Each member has to connect to the others,
+// and an election takes two round trips; a few elections may be split.
+constexpr milliseconds startBound{8000};
+
+// Returns a port that is currently free.
+std::string freeAddress()
+{
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &port);
+    static proto::Control::Service service;
+    builder.RegisterService(&service);
+    builder.BuildAndStart()->Shutdown();
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+// Three control hosts. All calls to one of them pass its relay.
+class DistantGroup
+{
+public:
+    explicit DistantGroup(milliseconds oneWayDelay)
+    {
+        std::vector<std::string> members;
+        for (int i = 0; i < memberCount; ++i) {
+            m_listenAddresses.push_back(freeAddress());
+            m_relays.push_back(std::make_unique<standin::Relay>(m_loop, "127.0.0.1:0", m_listenAddresses.back(),
+                                                                oneWayDelay));
+            members.push_back("c" + std::to_string(i) + "=" + m_relays.back()->address());
+        }
+        m_thread = std::thread([this] { m_loop.run(); });
+        for (int i = 0; i < memberCount; ++i) {
+            startHost(i, members);
+        }
+    }
+    ~DistantGroup()
+    {
+        for (int i = 0; i < memberCount; ++i) {
+            m_hosts[i]->stop();
+            m_servers[i]->Shutdown(std::chrono::system_clock::now());
+        }
+        m_hosts.clear();
+        m_loop.stop();
+        m_thread.join();
+    }
+    DistantGroup(const DistantGroup &) = delete;
+    DistantGroup &operator=(const DistantGroup &) = delete;
+
+    // Addresses of the relays.
+    std::vector<std::string> addresses() const
+    {
+        std::vector<std::string> result;
+        for (const auto &relay : m_relays) {
+            result.push_back(relay->address());
+        }
+        return result;
+    }
+
+private:
+    void startHost(int index, const std::vector<std::string> &members)
+    {
+        proto::Settings settings;
+        settings.mutable_host()->set_id("c" + std::to_string(index));
+        settings.mutable_host()->set_rpc_listen(m_listenAddresses[index]);
+        auto &control = *settings.mutable_control();
+        control.set_data_folder(m_folder.path() + "/c" + std::to_string(index));
+        for (const std::string &member : members) {
+            control.add_initial_members(member);
+        }
+        control.set_heartbeat_ms(80);
+        control.set_election_timeout_ms(600); // twice the longest round trip
+        control.set_snapshot_entries(1000);
+        m_hosts.push_back(ControlHost::create(settings));
+        REQUIRE(m_hosts.back());
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort(m_listenAddresses[index], grpc::InsecureServerCredentials());
+        for (grpc::Service *service : m_hosts.back()->services()) {
+            builder.RegisterService(service);
+        }
+        m_servers.push_back(builder.BuildAndStart());
+        REQUIRE(m_servers.back());
+    }
+
+    TemporaryFolder m_folder;
+    asio::io_context m_loop;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work{m_loop.get_executor()};
+    std::vector<std::string> m_listenAddresses;
+    std::vector<std::unique_ptr<standin::Relay>> m_relays;
+    std::vector<std::unique_ptr<ControlHost>> m_hosts;
+    std::vector<std::unique_ptr<grpc::Server>> m_servers;
+    std::thread m_thread;
+};
+
+proto::Command evacuation(const std::string &zone)
+{
+    proto::Command command;
+    command.set_change_id("evacuate-" + zone);
+    command.set_actor("test");
+    command.mutable_set_evacuation()->set_availability_zone(zone);
+    command.mutable_set_evacuation()->set_active(true);
+    return command;
+}
+
+ControlClient::Options clientOptions(const std::vector<std::string> &controlHosts)
+{
+    ControlClient::Options options;
+    options.self.set_id("e1");
+    options.self.set_incarnation(1);
+    options.self.set_entry(true);
+    options.self.set_region("north");
+    options.self.set_state(proto::MEMBER_LIVE);
+    options.controlHosts = controlHosts;
+    options.longTimeout = true;
+    return options;
+}
+
+} // namespace
+
+// Guards against connections that are given up before a distant host can accept them, so that no leader is elected.
+TEST_CASE("distant control hosts elect a leader, accept changes and send them to a distant entry host")
+{
+    const milliseconds oneWayDelay(GENERATE(55, 150));
+    CAPTURE(oneWayDelay.count());
+    DistantGroup group(oneWayDelay);
+    const auto addresses = group.addresses();
+    LeaderClient leader([&addresses] { return addresses.front(); });
+    const Time started = Clock::now();
+    REQUIRE(leader.propose(evacuation("z0"), started + startBound).kind() == proto::ERROR_NONE);
+
+    // Guards against calls that are given up and sent again on a new connection before the reply can arrive. A commit
+    // takes two round trips: one to the leader and one from there to the nearest members.
+    const Time proposed = Clock::now();
+    REQUIRE(leader.propose(evacuation("z1"), proposed + milliseconds(3000)).kind() == proto::ERROR_NONE);
+    CHECK(Clock::now() - proposed < 4 * oneWayDelay + milliseconds(400));
+
+    ControlClient client(clientOptions(addresses));
+    client.start();
+    CHECK(eventually([&client] { return client.view()->evacuations().size() == 2; }));
+    const Time changed = Clock::now();
+    REQUIRE(leader.propose(evacuation("z2"), changed + milliseconds(3000)).kind() == proto::ERROR_NONE);
+    REQUIRE(eventually([&client] { return client.view()->evacuations().size() == 3; }));
+    CHECK(Clock::now() - changed < milliseconds(2500));
+    client.stop();
+}
--- a/tests/test_raft.cpp
+++ b/tests/test_raft.cpp
@@ -78,6 +78,34 @@
     runSeeds("network of 5", 20, 5, faults, milliseconds(20000));
 }
 
+// Guards against elections between distant members that split the votes again and again, and against entries that are
+// sent again before their acknowledgement can arrive.
+TEST_CASE("members 55 and 150 ms apart elect a leader soon and keep it")
+{
+    for (const auto latency : {milliseconds(55), milliseconds(150)}) {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            CAPTURE(latency.count(), seed);
+            FaultRates faults;
+            faults.latency = latency;
+            SimulatedGroup group(seed, 3, faults);
+            group.run(milliseconds(8000));
+            REQUIRE_FALSE(group.leader().empty());
+            const auto leaders = group.stats().leaders;
+            const auto committed = group.stats().committed;
+            group.run(milliseconds(4000));
+            CHECK(group.stats().leaders == leaders);
+            CHECK(group.stats().committed > committed);
+        }
+        FaultRates faults;
+        faults.latency = latency;
+        faults.loss = 0.05;
+        faults.delayed = 0.05;
+        faults.crash = 0.003;
+        faults.partition = 0.003;
+        runSeeds("distant members", 20, 5, faults, milliseconds(20000));
+    }
+}
+
 // Guards against sending a message before the entry or vote that it acknowledges is synced: a crash in between loses
 // the entry or vote although another member relies on it.
 TEST_CASE("committed entries survive crashes that lose unsynced data and full disks")
