Handle pipelined requests that may be repeated at once

Cause: the server of a gateway host handled the requests of a connection one after the other. On the size service clients send further safe requests before the first has its answer, so that these waited for all runs before them.

Ruled out: handling every pipelined request at once. The client sends requests again that stand behind a response that closes the connection, whatever their kind, so that an unsafe one could run twice.

Change: net/connection, split from net/server, keeps a queue of calls for each connection. A request is handled while earlier ones are in progress only if the route of each allows it to run more than once. Responses are sent in order; one that closes the connection cancels those behind it, and a closing server closes with the response to the newest request.

Tests: test_server (new; the old server hands on one request at a time, and had no mayRepeat). test_gateway now checks that the second pipelined response is the second request's.

--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "gateway/forward.h"
+#include "gateway/text.h"
 
 namespace banyanledge
 {
@@ -82,6 +83,12 @@
     std::make_shared<ForwardedRequest>(*d, std::move(call))->start();
 }
 
+bool Gateway::mayRepeat(const HttpHead &head) const
+{
+    const auto *route = d->routing->route(headerValue(head.headers, "Host"), targetPath(head.target));
+    return route == nullptr || route->kind() != proto::REQUEST_UNSAFE;
+}
+
 bool Gateway::ready() const
 {
     return d->routing->version() > 0 && !d->routing->servers().empty();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -47,6 +47,9 @@
     // Forwards one client request; the response is sent through `call`.
     void handle(std::shared_ptr<HttpCall> call);
 
+    // Whether a request's route allows it to run more than once; also true if no server would run it.
+    bool mayRepeat(const HttpHead &head) const;
+
     // Whether a declaration and at least one usable backend server are known.
     bool ready() const;
 
--- /dev/null
+++ b/net/connection.cpp
@@ -0,0 +1,467 @@
+#include "net/connection.h"
+
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace banyanledge
+{
+
+namespace
+{
+
+// Received bytes that are kept until they can be parsed; more stay in the socket.
+constexpr std::size_t maxInputBytes = 65536;
+
+// Requests of one connection that are handled at once.
+constexpr std::size_t maxConcurrentCalls = 16;
+
+// Time for a client to receive the last response before the connection is closed.
+constexpr milliseconds lingerTimeout{1000};
+
+} // namespace
+
+PendingCall::PendingCall(std::shared_ptr<Connection> connection, HttpRequest request)
+    : m_connection(std::move(connection))
+    , m_request(std::move(request))
+{
+}
+
+const HttpRequest &PendingCall::request() const
+{
+    return m_request;
+}
+
+bool PendingCall::open() const
+{
+    return !m_ended && !m_aborted && !m_disconnected;
+}
+
+void PendingCall::respond(int status, const HttpHeaders &headers, const std::string &body)
+{
+    begin(status, headers, body.size());
+    write(body);
+    end();
+}
+
+void PendingCall::begin(int status, const HttpHeaders &headers, std::optional<std::uint64_t> length)
+{
+    if (!open() || m_started) {
+        return;
+    }
+    m_started = true;
+    const bool lastOfClosingServer = m_connection->m_owner->closing() && m_connection->isNewest(*this);
+    m_closeAfterResponse = m_closeAfterResponse || !m_request.head.keepAlive || lastOfClosingServer;
+    m_output += "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status) + "\r\n";
+    for (const auto &[name, value] : headers) {
+        appendHeader(m_output, name, value);
+    }
+    const bool bodyless = status / 100 == 1 || status == 204 || status == 304;
+    m_noBody = bodyless || m_request.head.method == "HEAD";
+    if (length && !bodyless) {
+        appendHeader(m_output, "Content-Length", std::to_string(*length));
+    } else if (!length && !bodyless) {
+        appendHeader(m_output, "Transfer-Encoding", "chunked");
+        m_chunked = true;
+    }
+    if (m_closeAfterResponse) {
+        appendHeader(m_output, "Connection", "close");
+    }
+    m_output += "\r\n";
+    m_connection->flush();
+}
+
+void PendingCall::write(std::string bytes)
+{
+    if (!open() || !m_started || bytes.empty() || m_noBody) {
+        return;
+    }
+    if (m_chunked) {
+        char size[32];
+        std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+        bytes = size + std::move(bytes) + "\r\n";
+    }
+    m_output += bytes;
+    m_connection->flush();
+}
+
+void PendingCall::end()
+{
+    if (!open() || !m_started) {
+        return;
+    }
+    if (m_chunked && !m_noBody) {
+        m_output += "0\r\n\r\n";
+    }
+    m_ended = true;
+    m_disconnectCallback = {};
+    m_drainedCallback = {};
+    m_connection->flush();
+}
+
+void PendingCall::closeAfterResponse()
+{
+    m_closeAfterResponse = true;
+}
+
+std::size_t PendingCall::bufferedBytes() const
+{
+    return m_output.size() + m_connection->writingBytes(*this);
+}
+
+void PendingCall::onDrained(std::function<void()> callback)
+{
+    m_drainedCallback = std::move(callback);
+}
+
+void PendingCall::abort()
+{
+    if (!open()) {
+        return;
+    }
+    m_aborted = true;
+    m_disconnectCallback = {};
+    m_drainedCallback = {};
+    m_connection->abortCall(*this);
+}
+
+void PendingCall::onDisconnect(std::function<void()> callback)
+{
+    m_disconnectCallback = std::move(callback);
+    if (m_disconnected && m_disconnectCallback) {
+        std::exchange(m_disconnectCallback, {})();
+    }
+}
+
+Connection::Connection(std::shared_ptr<ConnectionOwner> owner, asio::ip::tcp::socket socket)
+    : m_owner(std::move(owner))
+    , m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_limits(m_owner->options().limits())
+{
+}
+
+void Connection::start()
+{
+    startIdleTimer();
+    read();
+}
+
+bool Connection::idle() const
+{
+    return m_calls.empty() && m_input.empty() && !m_requestStarted && !m_lingering;
+}
+
+void Connection::close()
+{
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    const auto self = shared_from_this();
+    asio::error_code ignored; // the connection is closed whether or not this fails
+    m_socket.close(ignored);
+    m_timer.cancel();
+    m_owner->removeConnection(self);
+    const auto calls = std::exchange(m_calls, {});
+    for (const auto &call : calls) {
+        call->m_disconnected = true;
+        call->m_drainedCallback = {};
+        if (const auto callback = std::exchange(call->m_disconnectCallback, {})) {
+            callback();
+        }
+    }
+}
+
+void Connection::read()
+{
+    if (m_closed || m_reading || m_input.size() >= maxInputBytes) {
+        return;
+    }
+    m_reading = true;
+    m_socket.async_read_some(asio::buffer(m_readBuffer),
+                             [self = shared_from_this()](const asio::error_code &error, std::size_t size) {
+                                 self->m_reading = false;
+                                 self->onRead(error, size);
+                             });
+}
+
+void Connection::onRead(const asio::error_code &error, std::size_t size)
+{
+    if (m_closed) {
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    if (!m_lingering) {
+        m_input.append(m_readBuffer.data(), size);
+        parse();
+    }
+    read();
+}
+
+// Whether no further request of this connection is handled, because the newest response closes it.
+bool Connection::closesAfterNewest() const
+{
+    return !m_calls.empty()
+        && (m_calls.back()->m_closeAfterResponse || !m_calls.back()->m_request.head.keepAlive || m_owner->closing());
+}
+
+void Connection::parse()
+{
+    while (!m_closed && !m_lingering && !m_received && !m_input.empty() && !closesAfterNewest()
+           && m_calls.size() < maxConcurrentCalls) {
+        if (!m_requestStarted) {
+            m_requestStarted = true;
+            m_limits = m_owner->options().limits();
+            m_request = {};
+            m_request.receiveStart = Clock::now();
+            startHeaderTimer();
+        }
+        const std::size_t used = m_parser.feed(m_input);
+        m_input.erase(0, used);
+        if (m_parser.failed()) {
+            reject(400, m_parser.errorMessage());
+        } else if (m_parser.headBytes() > m_limits.maxHeaderBytes && (!m_parser.headComplete() || !m_headHandled)) {
+            reject(431, "the request head is larger than the limit; send fewer or shorter headers");
+        } else if (m_parser.headComplete()) {
+            receiveBody();
+        }
+        if (used == 0) {
+            return;
+        }
+    }
+}
+
+void Connection::receiveBody()
+{
+    const HttpHead &head = m_parser.head();
+    if (!m_headHandled) {
+        m_headHandled = true;
+        const std::string *expect = findHeader(head.headers, "Expect");
+        m_continueExpected = expect != nullptr && headerNamesEqual(*expect, "100-continue");
+        sendContinue();
+    }
+    m_request.body += m_parser.takeBody();
+    if (m_request.body.size() > m_limits.maxBodyBytes || head.contentLength.value_or(0) > m_limits.maxBodyBytes) {
+        reject(413, "the request body is larger than the limit; send a smaller body");
+        return;
+    }
+    if (m_parser.complete()) {
+        m_request.head = head;
+        m_request.receiveEnd = Clock::now();
+        m_timer.cancel();
+        m_received = true;
+        handleReceived();
+    }
+}
+
+// Interim responses are sent in order too, so this one waits for the responses to earlier requests.
+void Connection::sendContinue()
+{
+    if (m_continueExpected && m_calls.empty()) {
+        m_continueExpected = false;
+        m_interim += "HTTP/1.1 100 Continue\r\n\r\n";
+        flush();
+    }
+}
+
+// Requests are handled at once only if all of them may be repeated: when an earlier response closes the connection, the
+// client sends those behind it again.
+bool Connection::mayHandle(const HttpHead &head) const
+{
+    const auto &mayRepeat = m_owner->options().mayRepeat;
+    if (m_calls.empty()) {
+        return true;
+    }
+    return mayRepeat && mayRepeat(head) && std::all_of(m_calls.begin(), m_calls.end(), [&mayRepeat](const auto &call) {
+               return mayRepeat(call->request().head);
+           });
+}
+
+void Connection::handleReceived()
+{
+    if (!m_received || !mayHandle(m_request.head)) {
+        return;
+    }
+    const auto call = addCall(std::exchange(m_request, {}));
+    resetParser();
+    m_owner->options().handle(call);
+}
+
+std::shared_ptr<PendingCall> Connection::addCall(HttpRequest request)
+{
+    m_calls.push_back(std::make_shared<PendingCall>(shared_from_this(), std::move(request)));
+    return m_calls.back();
+}
+
+void Connection::resetParser()
+{
+    m_parser.reset();
+    m_received = false;
+    m_requestStarted = false;
+    m_headHandled = false;
+    m_continueExpected = false;
+}
+
+// Responds to a request that can't be read and closes the connection, because the start of the next one is unknown.
+void Connection::reject(int status, const std::string &reason)
+{
+    if (m_owner->options().onRejected) {
+        m_owner->options().onRejected(status);
+    }
+    m_timer.cancel();
+    m_request.head.keepAlive = false;
+    const auto call = addCall(std::exchange(m_request, {}));
+    resetParser();
+    m_input.clear();
+    call->respond(status, {{"Content-Type", "text/plain"}}, reason + "\n");
+}
+
+bool Connection::isNewest(const PendingCall &call) const
+{
+    return !m_received && !m_calls.empty() && m_calls.back().get() == &call;
+}
+
+std::size_t Connection::writingBytes(const PendingCall &call) const
+{
+    return !m_calls.empty() && m_calls.front().get() == &call ? m_writing.size() : 0;
+}
+
+// Sends what the oldest call has written.
+void Connection::flush()
+{
+    if (m_closed || m_lingering || !m_writing.empty()) {
+        return;
+    }
+    m_writing = std::exchange(m_interim, {});
+    if (!m_calls.empty()) {
+        PendingCall &front = *m_calls.front();
+        if (front.m_aborted) {
+            reset();
+            return;
+        }
+        m_writing += std::exchange(front.m_output, {});
+        if (m_writing.empty() && front.m_ended) {
+            finishFront();
+            return;
+        }
+    }
+    if (m_writing.empty()) {
+        return;
+    }
+    asio::async_write(m_socket, asio::buffer(m_writing),
+                      [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+                          self->m_writing.clear();
+                          self->onWritten(error);
+                      });
+}
+
+void Connection::onWritten(const asio::error_code &error)
+{
+    if (m_closed) {
+        return;
+    }
+    if (error) {
+        close();
+        return;
+    }
+    const auto front = m_calls.empty() ? nullptr : m_calls.front();
+    flush();
+    if (front && front->open()) {
+        if (const auto callback = std::exchange(front->m_drainedCallback, {})) {
+            callback();
+        }
+    }
+}
+
+// Continues with the next response once one was sent whole.
+void Connection::finishFront()
+{
+    const auto finished = m_calls.front();
+    m_calls.pop_front();
+    if (finished->m_closeAfterResponse) {
+        linger();
+        return;
+    }
+    if (m_calls.empty() && !m_requestStarted) {
+        startIdleTimer();
+    }
+    // Posted, so that a request is not handled inside the completion of another one's response.
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (!self->m_closed) {
+            self->sendContinue();
+            self->handleReceived();
+            self->parse();
+            self->flush();
+            self->read();
+        }
+    });
+}
+
+// An aborted response that is not the oldest one lets those before it end.
+void Connection::abortCall(const PendingCall &call)
+{
+    if (!m_calls.empty() && m_calls.front().get() == &call) {
+        reset();
+    }
+}
+
+// Resets the connection, so that a started response does not look complete.
+void Connection::reset()
+{
+    asio::error_code ignored; // the connection is closed whether or not this fails
+    m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+// Shuts down sending and closes the connection after lingerTimeout. Closing at once with unread bytes would reset the
+// connection and could lose a response in transit. Requests behind the last response count as not read.
+void Connection::linger()
+{
+    m_lingering = true;
+    m_input.clear();
+    const auto calls = std::exchange(m_calls, {});
+    for (const auto &call : calls) {
+        call->m_disconnected = true;
+        call->m_drainedCallback = {};
+        if (const auto callback = std::exchange(call->m_disconnectCallback, {})) {
+            callback();
+        }
+    }
+    asio::error_code ignored; // the client may have closed already
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    startTimer(lingerTimeout, [this] { close(); });
+    read();
+}
+
+void Connection::startIdleTimer()
+{
+    startTimer(m_limits.idleTimeout, [this] { close(); });
+}
+
+void Connection::startHeaderTimer()
+{
+    startTimer(m_limits.headerTimeout, [this] {
+        if (m_requestStarted && !m_headHandled) {
+            reject(408, "the request head did not arrive in time; send it at once");
+        }
+    });
+}
+
+void Connection::startTimer(Duration time, std::function<void()> expired)
+{
+    m_timer.expires_after(time);
+    m_timer.async_wait([self = shared_from_this(), expired = std::move(expired)](const asio::error_code &error) {
+        if (!error && !self->m_closed) {
+            expired();
+        }
+    });
+}
+
+} // namespace banyanledge
--- a/net/server.h
+++ b/net/server.h
@@ -1,4 +1,5 @@
 // HTTP/1.1 server on one event loop: reads whole requests, streams responses and reports clients that disconnect.
+// Pipelined requests that may be repeated are handled at once; the responses are sent in the order of the requests.
 #pragma once
 
 #include <asio/io_context.hpp>
@@ -66,13 +67,14 @@
 class HttpServer
 {
 public:
-    class Private; // public because the connections in server.cpp use it
-
     struct Options
     {
         std::string address; // IP:PORT
         std::function<HttpLimits()> limits; // called for each connection and each request
         std::function<void(std::shared_ptr<HttpCall>)> handle;
+        // Whether a request may run more than once, and so be handled before an earlier one of its connection has its
+        // response. The client sends it again when that response closes the connection. Empty: none may.
+        std::function<bool(const HttpHead &)> mayRepeat;
         std::function<void(int status)> onRejected; // the request exceeded a limit or is not valid HTTP; may be empty
     };
 
@@ -80,7 +82,7 @@
     static std::unique_ptr<HttpServer> start(asio::io_context &loop, Options options);
     ~HttpServer();
 
-    // Closes each connection after its next response.
+    // Closes each connection after the response to the newest request that was received on it.
     void closeAfterResponses();
 
     // Closes connections without a request in progress.
@@ -92,6 +94,7 @@
     std::size_t connections() const;
 
 private:
+    class Private;
     explicit HttpServer(std::shared_ptr<Private> priv);
     std::shared_ptr<Private> d;
 };
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -2,6 +2,7 @@
 banyan_test(test_gateway unit test_gateway.cpp gateway_fixture.cpp LINK banyan_gateway)
 banyan_test(test_hostlimits decisions test_hostlimits.cpp LINK banyan_decide)
 banyan_test(test_placement decisions test_placement.cpp LINK banyan_decide)
+banyan_test(test_server unit test_server.cpp LINK banyan_net asio_headers)
 banyan_test(test_platform unit test_platform.cpp LINK banyan_platform)
 set_tests_properties(test_hostlimits PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=100")
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -454,6 +454,7 @@
     asio::write(*socket, asio::buffer(GatewayFixture::request("safe", "c")));
     const auto second = fixture.receiveResponse(*socket);
     CHECK(second.status() == 200);
+    CHECK(second.header("Req-Id") == "b");
 }
 
 TEST_CASE("requests beyond the declared limits are rejected")
--- /dev/null
+++ b/tests/test_server.cpp
@@ -0,0 +1,245 @@
+// Pipelined requests at the HTTP server, over real sockets.
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <map>
+#include <thread>
+
+#include <asio.hpp>
+
+#include "net/server.h"
+
+using namespace banyanledge;
+
+namespace
+{
+
+using asio::ip::tcp;
+
+// Time after which a wait in these tests fails.
+constexpr milliseconds waitLimit{5000};
+
+// A server whose calls the test answers. Requests to paths below /once must not be repeated.
+class PipelineFixture
+{
+public:
+    PipelineFixture()
+        : m_client(m_loop)
+    {
+        HttpServer::Options options;
+        options.limits = [] { return HttpLimits(); };
+        options.handle = [this](const std::shared_ptr<HttpCall> &call) {
+            const std::string path = call->request().head.target;
+            m_arrivals.push_back(path);
+            calls[path] = call;
+            call->onDisconnect([this, path] { disconnected.push_back(path); });
+        };
+        options.mayRepeat = [](const HttpHead &head) { return !head.target.starts_with("/once"); };
+        for (unsigned short port = 20000; !server && port < 20200; ++port) {
+            options.address = "127.0.0.1:" + std::to_string(port);
+            server = HttpServer::start(m_loop, options);
+            m_endpoint = {asio::ip::address_v4::loopback(), port};
+        }
+        REQUIRE(server);
+        m_client.connect(m_endpoint);
+    }
+
+    void send(const std::string &bytes)
+    {
+        asio::write(m_client, asio::buffer(bytes));
+    }
+
+    // Runs the loop until a condition holds.
+    void runUntil(const std::function<bool()> &condition)
+    {
+        const Time end = Clock::now() + waitLimit;
+        while (!condition()) {
+            REQUIRE(Clock::now() < end);
+            m_loop.run_for(milliseconds(1));
+            m_loop.restart();
+        }
+    }
+
+    // Waits until exactly these requests have been handed to the handler, and no other one is in the next 30 ms.
+    void expectArrivals(const std::vector<std::string> &paths)
+    {
+        runUntil([&] { return m_arrivals.size() >= paths.size(); });
+        m_loop.run_for(milliseconds(30));
+        m_loop.restart();
+        CHECK(m_arrivals == paths);
+    }
+
+    // All bytes that arrive until the server closes the connection; `reset` tells how it did.
+    std::string receiveUntilClosed(bool &reset)
+    {
+        std::string received;
+        bool closed = false;
+        std::array<char, 4096> buffer{};
+        std::function<void()> read = [&] {
+            m_client.async_read_some(asio::buffer(buffer), [&](const asio::error_code &error, std::size_t size) {
+                received.append(buffer.data(), size);
+                closed = bool(error);
+                reset = error == asio::error::connection_reset;
+                if (!error) {
+                    read();
+                }
+            });
+        };
+        read();
+        runUntil([&] { return closed; });
+        return received;
+    }
+
+    // Bytes that arrive until the text is complete.
+    std::string receive(const std::string &lastText)
+    {
+        std::string received;
+        asio::error_code error;
+        m_client.non_blocking(true);
+        runUntil([&] {
+            std::array<char, 4096> buffer{};
+            const std::size_t size = m_client.read_some(asio::buffer(buffer), error);
+            received.append(buffer.data(), size);
+            return received.ends_with(lastText);
+        });
+        m_client.non_blocking(false);
+        return received;
+    }
+
+    void closeClient()
+    {
+        m_client.close();
+    }
+
+    std::map<std::string, std::shared_ptr<HttpCall>> calls; // by path
+    std::vector<std::string> disconnected; // paths
+    std::unique_ptr<HttpServer> server;
+
+private:
+    asio::io_context m_loop;
+    tcp::socket m_client;
+    tcp::endpoint m_endpoint;
+    std::vector<std::string> m_arrivals; // paths
+};
+
+std::string get(const std::string &path, const std::string &headers = {})
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n";
+}
+
+std::string ok(const std::string &body, const std::string &headers = {})
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + headers + "\r\n" + body;
+}
+
+} // namespace
+
+// Guards against a request that waits at the server for the backend's answers to all earlier ones of its connection.
+TEST_CASE("pipelined requests that may be repeated are handled at once and answered in order")
+{
+    PipelineFixture fixture;
+    fixture.send(get("/a") + get("/b") + get("/c"));
+    fixture.expectArrivals({"/a", "/b", "/c"});
+    fixture.calls["/c"]->respond(200, {}, "third");
+    fixture.calls["/b"]->begin(200, {}, std::nullopt);
+    fixture.calls["/b"]->write("second");
+    fixture.calls["/b"]->end();
+    fixture.calls["/a"]->respond(200, {}, "first");
+    CHECK(fixture.receive("third")
+          == ok("first") + "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nsecond\r\n0\r\n\r\n"
+              + ok("third"));
+    CHECK(fixture.disconnected.empty());
+}
+
+// Guards against a request that runs twice, because the client sends it again after the response before it closed the
+// connection.
+TEST_CASE("a pipelined request that must not be repeated waits for the responses before it")
+{
+    PipelineFixture fixture;
+    fixture.send(get("/a") + get("/once") + get("/b"));
+    fixture.expectArrivals({"/a"});
+    fixture.calls["/a"]->respond(200, {}, "first");
+    fixture.expectArrivals({"/a", "/once"});
+    fixture.calls["/once"]->respond(200, {}, "second");
+    fixture.expectArrivals({"/a", "/once", "/b"});
+    fixture.calls["/b"]->respond(200, {}, "third");
+    CHECK(fixture.receive("third") == ok("first") + ok("second") + ok("third"));
+}
+
+TEST_CASE("requests behind a response that closes the connection are not handled, and those in progress are cancelled")
+{
+    PipelineFixture fixture;
+    SECTION("the request asks for it")
+    {
+        fixture.send(get("/a", "Connection: close\r\n") + get("/b"));
+        fixture.expectArrivals({"/a"});
+    }
+    SECTION("the handler asks for it")
+    {
+        fixture.send(get("/a") + get("/b") + get("/once"));
+        fixture.expectArrivals({"/a", "/b"});
+        fixture.calls["/a"]->closeAfterResponse();
+    }
+    const bool cancelsOthers = fixture.calls.contains("/b");
+    fixture.calls["/a"]->respond(200, {}, "first");
+    bool reset = false;
+    CHECK(fixture.receiveUntilClosed(reset) == ok("first", "Connection: close\r\n"));
+    CHECK_FALSE(reset);
+    CHECK_FALSE(fixture.calls.contains("/once"));
+    CHECK(fixture.disconnected == (cancelsOthers ? std::vector<std::string>{"/b"} : std::vector<std::string>{}));
+}
+
+// Guards against requests that were accepted and are cut off when the server stops.
+TEST_CASE("a closing server answers all requests in progress and closes with the newest")
+{
+    PipelineFixture fixture;
+    fixture.send(get("/a") + get("/b"));
+    fixture.expectArrivals({"/a", "/b"});
+    fixture.server->closeAfterResponses();
+    fixture.send(get("/c"));
+    fixture.calls["/a"]->respond(200, {}, "first");
+    fixture.calls["/b"]->respond(200, {}, "second");
+    bool reset = false;
+    CHECK(fixture.receiveUntilClosed(reset) == ok("first") + ok("second", "Connection: close\r\n"));
+    CHECK_FALSE(reset);
+    CHECK(fixture.calls.size() == 2);
+}
+
+// Guards against an incomplete response that looks complete, and against one that takes earlier ones with it.
+TEST_CASE("an aborted response resets the connection after the responses before it")
+{
+    PipelineFixture fixture;
+    fixture.send(get("/a") + get("/b") + get("/c"));
+    fixture.expectArrivals({"/a", "/b", "/c"});
+    fixture.calls["/b"]->begin(200, {}, 100);
+    fixture.calls["/b"]->write("part");
+    fixture.calls["/b"]->abort();
+    fixture.calls["/a"]->respond(200, {}, "first");
+    CHECK(fixture.receive("first") == ok("first"));
+    bool reset = false;
+    CHECK_FALSE(fixture.receiveUntilClosed(reset).ends_with("part"));
+    CHECK(reset);
+    CHECK(fixture.disconnected == std::vector<std::string>{"/c"});
+}
+
+TEST_CASE("an unreadable request is refused after the responses before it")
+{
+    PipelineFixture fixture;
+    fixture.send(get("/a") + "nonsense\r\n\r\n" + get("/b"));
+    fixture.expectArrivals({"/a"});
+    fixture.calls["/a"]->respond(200, {}, "first");
+    bool reset = false;
+    const std::string received = fixture.receiveUntilClosed(reset);
+    CHECK(received.starts_with(ok("first") + "HTTP/1.1 400 "));
+    CHECK(received.find("Connection: close") != std::string::npos);
+}
+
+TEST_CASE("a client that disconnects cancels all its requests")
+{
+    PipelineFixture fixture;
+    fixture.send(get("/a") + get("/b"));
+    fixture.expectArrivals({"/a", "/b"});
+    fixture.closeClient();
+    fixture.runUntil([&] { return fixture.disconnected.size() == 2; });
+    CHECK(fixture.disconnected == std::vector<std::string>{"/a", "/b"});
+}
