Refuse an election timeout below two round trips

An election takes two round trips, one for the pre-votes and one for the votes. With a shorter election timeout a group of distant control hosts starts elections before the votes of the last one can arrive, and has no leader.

Test: test_base "an election timeout below two round trips is rejected".

--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -238,6 +238,23 @@
     return present;
 }
 
+bool checkElectionTimeout(const proto::ControlSettings &control, const std::string &file)
+{
+    const auto reject = [&file](const std::string &reason) {
+        fail(proto::ERROR_INVALID, locationPrefix({file, 0, "control", "election_timeout_ms"}) + reason);
+        return false;
+    };
+    if (control.election_timeout_ms() < 3 * control.heartbeat_ms()) {
+        return reject("contradicts heartbeat_ms; write at least 3 times heartbeat_ms, so that one lost heartbeat starts "
+                      "no election");
+    }
+    if (control.election_timeout_ms() < 2 * control.round_trip_ms()) {
+        return reject("contradicts round_trip_ms; write at least 2 times round_trip_ms, because an election takes two "
+                      "round trips between control hosts");
+    }
+    return true;
+}
+
 bool checkRoles(const proto::Settings &settings, const std::string &file)
 {
     const auto &entry = settings.entry();
@@ -279,14 +296,7 @@
             return false;
         }
     }
-    if (control.election_timeout_ms() < 3 * control.heartbeat_ms()) {
-        fail(proto::ERROR_INVALID,
-             locationPrefix({file, 0, "control", "election_timeout_ms"})
-                 + "contradicts heartbeat_ms; write at least 3 times heartbeat_ms, so that one lost heartbeat "
-                   "starts no election");
-        return false;
-    }
-    return true;
+    return checkElectionTimeout(control, file);
 }
 
 } // namespace
--- a/tests/test_base.cpp
+++ b/tests/test_base.cpp
@@ -66,6 +66,17 @@
     CHECK_THAT(rejectionMessage(entrySettings + control), Catch::Matchers::Contains("contradicts heartbeat_ms"));
 }
 
+// Guards against a group that never elects a leader, because the votes arrive after the election timeout.
+TEST_CASE("an election timeout below two round trips is rejected")
+{
+    const std::string control = "[control]\nenabled = true\ndata_folder = d\noperators_listen = 127.0.0.1:9001\n"
+                                "operators_file = o\ninitial_members = c1=127.0.0.1:7101\n"
+                                "election_timeout_ms = 400\nround_trip_ms = ";
+    CHECK(parseSettings(entrySettings + control + "200\n", "test.ini"));
+    CHECK_THAT(rejectionMessage(entrySettings + control + "201\n"),
+               Catch::Matchers::Contains("contradicts round_trip_ms"));
+}
+
 TEST_CASE("an unreadable settings file is an I/O error")
 {
     REQUIRE_FALSE(readSettings("/nonexistent/banyanledge.ini"));
