Keep the candidates of each service and region between requests

Read from the code: each attempt built a list of all servers of a region with a map look-up by name for each, which with 390 servers is about 4,000 string comparisons a request, and hashed the ids of all hosts for each cold server. A cold server at its limit copied the whole list once more.

Change: GatewayState builds the lists when the table changes; a cold server's share is computed once for a table. placeRequest ranks and chooses in separate functions and leaves out servers in a loop without copies.

The choice itself is unchanged: test_placement and test_gateway pass as they were.

--- a/decide/placement.cpp
+++ b/decide/placement.cpp
@@ -90,77 +90,106 @@
     return state.consecutiveFailures < ejectAfter || (now >= state.ejectedUntil && state.trialRequests == 0);
 }
 
-Placement placeRequest(const std::vector<Candidate> &candidates, const PlacementRequest &request, Time now)
+namespace
+{
+
+// A server and its rendezvous hash with an object.
+struct RankedServer
+{
+    std::uint64_t hash = 0;
+    std::size_t index = 0; // into the candidates
+};
+
+// The servers with the highest rendezvous hashes, in descending order.
+struct Ranking
 {
-    struct Choice
+    std::array<RankedServer, maxConsidered + 1> servers{};
+    std::size_t size = 0;
+    bool anyHealthy = false; // whether any untried server is healthy, also a cold one
+
+    void add(const RankedServer &added)
     {
-        std::uint64_t hash = 0;
-        std::size_t index = 0;
-    };
-    // Keep the highest rendezvous hashes; without affinity the object's hash is random, which distributes the requests.
-    std::array<Choice, maxConsidered + 1> best{};
-    std::size_t found = 0;
-    bool anyHealthy = false;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const Candidate &candidate = candidates[i];
-        if (request.tried != nullptr && request.tried->contains(*candidate.id)) {
-            continue;
-        }
-        if (!healthy(*candidate.state, now)) {
-            continue;
-        }
-        anyHealthy = true;
-        const bool cold = now < candidate.state->coldUntil;
-        if (cold && candidate.coldRate < 1) {
-            continue;
-        }
-        const Choice choice{mixHashes(candidate.hash, request.object), i};
-        std::size_t position = found;
-        while (position > 0 && best[position - 1].hash < choice.hash) {
+        std::size_t position = size;
+        while (position > 0 && servers[position - 1].hash < added.hash) {
             --position;
         }
-        for (std::size_t j = std::min(found, maxConsidered); j > position; --j) {
-            best[j] = best[j - 1];
+        for (std::size_t j = std::min(size, maxConsidered); j > position; --j) {
+            servers[j] = servers[j - 1];
         }
         if (position <= maxConsidered) {
-            best[position] = choice;
-            found = std::min(found + 1, maxConsidered + 1);
+            servers[position] = added;
+            size = std::min(size + 1, maxConsidered + 1);
         }
     }
-    found = std::min(found, maxConsidered);
+};
+
+bool isCold(const Candidate &candidate, Time now)
+{
+    return now < candidate.state->coldUntil;
+}
+
+// Without affinity the object's hash is random, which distributes the requests.
+Ranking rankServers(const std::vector<Candidate> &candidates, const PlacementRequest &request,
+                    const std::vector<std::size_t> &excluded, Time now)
+{
+    Ranking ranking;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const Candidate &candidate = candidates[i];
+        const bool wasTried = request.tried != nullptr && request.tried->contains(*candidate.id);
+        if (wasTried || !healthy(*candidate.state, now)) {
+            continue;
+        }
+        ranking.anyHealthy = true;
+        const bool mayBeSent = !isCold(candidate, now) || candidate.coldRate.value_or(0) >= 1;
+        if (mayBeSent && std::find(excluded.begin(), excluded.end(), i) == excluded.end()) {
+            ranking.add({mixHashes(candidate.hash, request.object), i});
+        }
+    }
+    ranking.size = std::min(ranking.size, maxConsidered);
+    return ranking;
+}
+
+// Chooses the server of lowest cost; a cold server's rate limit is not checked.
+Placement chooseRanked(const std::vector<Candidate> &candidates, const PlacementRequest &request,
+                       const Ranking &ranking, Time now)
+{
     Placement result;
-    result.status = anyHealthy ? PlacementStatus::Full : PlacementStatus::NoServer;
+    result.status = ranking.anyHealthy ? PlacementStatus::Full : PlacementStatus::NoServer;
     double lowestCost = 0;
-    for (std::size_t rank = 0; rank < found; ++rank) {
-        const Candidate &candidate = candidates[best[rank].index];
-        const double slots = candidate.slots;
-        const double load = (estimatedLoad(*candidate.state, now) + 1) / slots;
+    for (std::size_t rank = 0; rank < ranking.size; ++rank) {
+        const std::size_t index = ranking.servers[rank].index;
+        const Candidate &candidate = candidates[index];
+        const double load = (estimatedLoad(*candidate.state, now) + 1) / candidate.slots;
         const double queue = std::max(0.0, load - 1);
         if (queue > request.maxQueuePerSlot || now < candidate.state->refusedUntil) {
             continue;
         }
         const double cost = queue + (request.affinity ? nextServerCost * static_cast<double>(rank) : load);
-        if (result.status == PlacementStatus::Chosen && cost >= lowestCost) {
-            continue;
+        if (result.status != PlacementStatus::Chosen || cost < lowestCost) {
+            result = {PlacementStatus::Chosen, index, load};
+            lowestCost = cost;
         }
-        // A cold server's rate limit is charged below, only when the server is finally chosen.
-        result.status = PlacementStatus::Chosen;
-        result.index = best[rank].index;
-        result.load = load;
-        lowestCost = cost;
     }
-    if (result.status == PlacementStatus::Chosen) {
-        const Candidate &chosen = candidates[result.index];
-        if (now < chosen.state->coldUntil && !chosen.state->coldLimiter.take(chosen.coldRate, now)) {
-            std::vector<Candidate> others = candidates;
-            others.erase(others.begin() + static_cast<std::ptrdiff_t>(result.index));
-            Placement other = placeRequest(others, request, now);
-            other.index += other.status == PlacementStatus::Chosen && other.index >= result.index ? 1 : 0;
-            other.status = other.status == PlacementStatus::NoServer ? PlacementStatus::Full : other.status;
-            return other;
+    return result;
+}
+
+} // namespace
+
+Placement placeRequest(const std::vector<Candidate> &candidates, const PlacementRequest &request, Time now)
+{
+    std::vector<std::size_t> excluded; // cold servers at their rate limit
+    for (;;) {
+        const Ranking ranking = rankServers(candidates, request, excluded, now);
+        const Placement placement = chooseRanked(candidates, request, ranking, now);
+        if (placement.status != PlacementStatus::Chosen) {
+            return placement;
         }
+        const Candidate &chosen = candidates[placement.index];
+        if (!isCold(chosen, now) || chosen.state->coldLimiter.take(chosen.coldRate.value_or(0), now)) {
+            return placement;
+        }
+        excluded.push_back(placement.index);
     }
-    return result;
 }
 
 } // namespace banyanledge
--- a/decide/placement.h
+++ b/decide/placement.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -36,7 +37,7 @@
     const std::string *id = nullptr;
     std::uint64_t hash = 0; // of the id
     unsigned slots = 1;
-    double coldRate = 0; // requests per second that this host may send while the server is cold
+    std::optional<double> coldRate; // requests per second that this host may send while the server is cold; known then
     ServerState *state = nullptr;
 };
 
--- a/gateway/routing.cpp
+++ b/gateway/routing.cpp
@@ -77,6 +77,7 @@
     for (const auto &[id, member] : table.members()) {
         if (member.entry() && member.state() == proto::MEMBER_LIVE) {
             routing->m_hosts.push_back(&member);
+            routing->m_hostHashes.push_back(hashText(id));
             regions.insert(member.region());
         }
     }
@@ -120,6 +121,11 @@
     return found == m_services.end() ? nullptr : &found->second;
 }
 
+const std::unordered_map<std::string, RoutedService> &Routing::services() const
+{
+    return m_services;
+}
+
 const std::vector<RoutedServer> &Routing::servers() const
 {
     return m_servers;
@@ -130,6 +136,11 @@
     return m_hosts;
 }
 
+const std::vector<std::uint64_t> &Routing::hostHashes() const
+{
+    return m_hostHashes;
+}
+
 std::size_t Routing::regionCount() const
 {
     return m_regionCount;
--- a/gateway/routing.h
+++ b/gateway/routing.h
@@ -58,11 +58,15 @@
     // nullptr when the service is not declared.
     const RoutedService *service(const std::string &name) const;
 
+    const std::unordered_map<std::string, RoutedService> &services() const; // by name
+
     const std::vector<RoutedServer> &servers() const;
 
     // Live hosts with the gateway role.
     const std::vector<const proto::Member *> &hosts() const;
 
+    const std::vector<std::uint64_t> &hostHashes() const; // of the ids of hosts()
+
     std::size_t regionCount() const; // regions with live hosts, at least 1
 
 private:
@@ -73,6 +77,7 @@
     std::unordered_map<std::string, RoutedService> m_services;
     std::vector<RoutedServer> m_servers;
     std::vector<const proto::Member *> m_hosts;
+    std::vector<std::uint64_t> m_hostHashes;
     std::size_t m_regionCount = 1;
 };
 
--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -66,6 +66,7 @@
                  {"revision", std::to_string(view->revision())}});
     }
     updateServers(now);
+    updateCandidates();
     for (const auto &customer : view->declaration().customers()) {
         const bool pooled = buckets[customer.name()].share() <= 0;
         const double part = customer.rate() * fallbackRateShare
@@ -180,42 +181,53 @@
     const std::uint64_t ownHash = mixHashes(server.hash, hashText(options.host.id()));
     std::size_t rank = 0;
     bool isLive = false;
-    for (const auto *host : routing->hosts()) {
-        isLive = isLive || host->id() == options.host.id();
-        rank += mixHashes(server.hash, hashText(host->id())) > ownHash ? 1 : 0;
+    for (const auto hostHash : routing->hostHashes()) {
+        const std::uint64_t hash = mixHashes(server.hash, hostHash);
+        isLive = isLive || hash == ownHash;
+        rank += hash > ownHash ? 1 : 0;
     }
     return isLive ? coldRateShare(bound * warmupRateShare, routing->hosts().size(), rank) : 0;
 }
 
-std::vector<Candidate> GatewayState::candidates(const RoutedService &service, const std::string &region, Time now)
+void GatewayState::updateCandidates()
 {
-    std::vector<Candidate> result;
-    const auto found = service.serversByRegion.find(region);
-    if (found == service.serversByRegion.end()) {
-        return result;
+    m_candidates.clear();
+    for (const auto &[name, service] : routing->services()) {
+        auto &byRegion = m_candidates[&service];
+        for (const auto &[region, regionServers] : service.serversByRegion) {
+            RegionCandidates &list = byRegion[region];
+            list.reserve(regionServers.size());
+            for (const RoutedServer *server : regionServers) {
+                list.push_back({&server->id, server->hash, server->slots, std::nullopt, &servers[server->id]});
+            }
+        }
     }
-    result.reserve(found->second.size());
-    for (const RoutedServer *server : found->second) {
-        ServerState &state = servers[server->id];
-        const double rateWhileWarming = now < state.coldUntil ? warmupRate(service, *server) : 0;
-        result.push_back({&server->id, server->hash, server->slots, rateWhileWarming, &state});
+}
+
+const GatewayState::RegionCandidates &GatewayState::candidates(const RoutedService &service, const std::string &region,
+                                                               Time now)
+{
+    RegionCandidates &list = m_candidates[&service][region];
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        if (!list[i].coldRate && now < list[i].state->coldUntil) {
+            list[i].coldRate = warmupRate(service, *service.serversByRegion.at(region)[i]);
+        }
     }
-    return result;
+    return list;
 }
 
 double GatewayState::loadPerSlot(const RoutedService &service, bool inHomeRegion, Time now)
 {
     double load = 0;
     double slots = 0;
-    for (const auto &[region, regionServers] : service.serversByRegion) {
+    for (const auto &[region, list] : m_candidates[&service]) {
         if ((region == options.host.region()) != inHomeRegion) {
             continue;
         }
-        for (const RoutedServer *server : regionServers) {
-            const ServerState &state = servers[server->id];
-            if (healthy(state, now)) {
-                load += estimatedLoad(state, now);
-                slots += server->slots;
+        for (const Candidate &candidate : list) {
+            if (healthy(*candidate.state, now)) {
+                load += estimatedLoad(*candidate.state, now);
+                slots += candidate.slots;
             }
         }
     }
@@ -284,7 +296,7 @@
         if (status == PlacementStatus::Full && region != regionOrder.front() && query.state->overflowAllowance < 1) {
             break;
         }
-        const auto regionCandidates = candidates(service, *region, now);
+        const RegionCandidates &regionCandidates = candidates(service, *region, now);
         const Placement placement = placeRequest(regionCandidates, query.request, now);
         if (placement.status == PlacementStatus::Chosen) {
             if (status == PlacementStatus::Full) {
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -7,6 +7,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "decide/hostlimits.h"
@@ -99,12 +100,19 @@
 
 private:
     void updateServers(Time now);
-    std::vector<Candidate> candidates(const RoutedService &service, const std::string &region, Time now);
+    // Servers of one service and region, in the order of RoutedService::serversByRegion.
+    using RegionCandidates = std::vector<Candidate>;
+
+    void updateCandidates();
+    const RegionCandidates &candidates(const RoutedService &service, const std::string &region, Time now);
     double warmupRate(const RoutedService &service, const RoutedServer &server) const;
     void updateServiceSpill(const RoutedService &service, ServiceState &state, Time now);
     // Mean load per slot of the healthy servers of a service in the host's own region, or in all other regions.
     double loadPerSlot(const RoutedService &service, bool inHomeRegion, Time now);
 
+    // Candidates of every service of `routing`, by region. Kept because a request must not cost a look-up of each server.
+    std::unordered_map<const RoutedService *, std::map<std::string, RegionCandidates>> m_candidates;
+
     // RoutedServer::fingerprint of the last use, by server id; empty while a server gets no requests.
     std::map<std::string, std::string> m_fingerprints;
 };
