Elect and keep a leader on disks that sync as slowly as the election timeout

A candidate's next election started before the votes were synced.

Change: messages are handled before timers, and heartbeats, which depend on nothing that is not stored, are sent before the sync. The fixture of test_sync fails with a message if there is no leader.

Test: test_raft "members whose disks sync as slowly as the election timeout elect a leader and commit".

--- a/ledger/nodeloop.cpp
+++ b/ledger/nodeloop.cpp
@@ -119,11 +119,12 @@
             }
             inputs.swap(queue);
         }
+        // Messages before timers: after a slow sync or a pause, replies that arrived meanwhile count.
         const auto now = Clock::now();
-        raft.tick(now);
         for (auto &input : inputs) {
             handle(input, now);
         }
+        raft.tick(now);
         processOutput(now);
     }
     failPending(0, unknownOutcome());
@@ -203,14 +204,15 @@
             applyCommitted();
             break;
         }
+        // Heartbeats depend on nothing that is not stored yet, and must not wait for a slow disk.
+        for (const auto &message : output.heartbeats) {
+            options.send(message);
+        }
         if (persist(output, now)) {
             for (const auto &message : output.messages) {
                 options.send(message);
             }
         }
-        for (const auto &message : output.heartbeats) {
-            options.send(message);
-        }
         for (const auto &to : output.snapshotRecipients) {
             addJob([this, to] {
                 if (auto snapshot = store.loadSnapshot()) {
--- a/tests/raft_simulation.cpp
+++ b/tests/raft_simulation.cpp
@@ -132,10 +132,10 @@
     m_partitionEnd = m_now + milliseconds(3000);
 }
 
-void SimulatedGroup::send(const proto::RaftMessage &message)
+void SimulatedGroup::send(const proto::RaftMessage &message, Duration sendDelay)
 {
-    const auto delay = [this] {
-        return m_faults.latency + randomDuration(chance(m_faults.delayed) ? milliseconds(400) : milliseconds(5));
+    const auto delay = [this, sendDelay] {
+        return sendDelay + m_faults.latency + randomDuration(chance(m_faults.delayed) ? milliseconds(400) : milliseconds(5));
     };
     if (!chance(m_faults.loss)) {
         m_network.emplace(m_now + delay(), message);
@@ -249,6 +249,9 @@
             crash(member.id, false);
             return;
         }
+        std::for_each(output.heartbeats.begin(), output.heartbeats.end(), [this](const auto &each) { send(each); });
+        const Duration syncTime = writes ? m_faults.syncTime : milliseconds(0);
+        member.frozenUntil = std::max(member.frozenUntil, m_now + syncTime);
         const bool stored = !writes || !chance(m_faults.diskFull);
         if (stored) {
             persist(member, output);
@@ -265,9 +268,9 @@
         }
         // Messages may acknowledge what this output stored, so a failed sync drops them; heartbeats do not.
         if (stored) {
-            std::for_each(output.messages.begin(), output.messages.end(), [this](const auto &each) { send(each); });
+            std::for_each(output.messages.begin(), output.messages.end(),
+                          [this, syncTime](const auto &each) { send(each, syncTime); });
         }
-        std::for_each(output.heartbeats.begin(), output.heartbeats.end(), [this](const auto &each) { send(each); });
         for (const auto &to : output.snapshotRecipients) {
             send(member.raft->snapshotMessage(to, member.snapshot, localTime(member)));
         }
@@ -384,10 +387,10 @@
         if (!member.raft || m_now < member.frozenUntil) {
             continue;
         }
-        member.raft->tick(localTime(member));
         for (const auto &message : std::exchange(member.inbox, {})) {
             member.raft->step(message, localTime(member));
         }
+        member.raft->tick(localTime(member));
         if (member.raft->role() == Raft::Role::Leader && chance(0.3)) {
             propose(member);
         }
--- a/tests/raft_simulation.h
+++ b/tests/raft_simulation.h
@@ -22,6 +22,7 @@
 struct FaultRates
 {
     milliseconds latency{}; // one way, of every message
+    milliseconds syncTime{}; // during a sync a member neither receives nor sends; at most 1 s
     double loss = 0; // per message
     double duplicate = 0; // per message
     double delayed = 0; // per message: a delay of up to 400 ms instead of up to 5 ms
@@ -105,7 +106,7 @@
     void installSnapshot(Member &member, const proto::LogSnapshot &snapshot);
     void apply(Member &member);
     void takeSnapshot(Member &member);
-    void send(const proto::RaftMessage &message);
+    void send(const proto::RaftMessage &message, Duration sendDelay = {});
     static bool hasMember(const Member &leaderMember, const std::string &id);
     static void changeMember(Member &leaderMember, const proto::LogMember &member);
     void checkPromotions(const Member &leaderMember, const RaftOutput &output) const;
--- a/tests/test_raft.cpp
+++ b/tests/test_raft.cpp
@@ -106,6 +106,23 @@
     }
 }
 
+// Guards against a leader that steps down after each sync, because it looks at its timers before the replies that arrived
+// meanwhile, and whose heartbeats wait for the disk.
+TEST_CASE("members whose disks sync as slowly as the election timeout elect a leader and commit")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        FaultRates faults;
+        faults.syncTime = milliseconds(300);
+        SimulatedGroup group(seed, 3, faults);
+        group.run(milliseconds(20000));
+        const auto committed = group.stats().committed;
+        CHECK(committed > 0);
+        group.run(milliseconds(10000));
+        CHECK(group.stats().committed > committed);
+    }
+}
+
 // Guards against sending a message before the entry or vote that it acknowledges is synced: a crash in between loses
 // the entry or vote although another member relies on it.
 TEST_CASE("committed entries survive crashes that lose unsynced data and full disks")
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -14,12 +14,19 @@
 namespace
 {
 
+// Fails the test if the group had no leader in time.
+std::shared_ptr<Node> requireNode(std::shared_ptr<Node> node)
+{
+    REQUIRE(node);
+    return node;
+}
+
 // Handles Sync calls as a control host does, without gRPC.
 class SyncFixture
 {
 public:
     explicit SyncFixture(std::shared_ptr<Node> node)
-        : m_node(std::move(node))
+        : m_node(requireNode(std::move(node)))
         , m_sync(m_loop, *m_node)
     {
         tick();
