Keep tokens of customers' rates at the control hosts near the gateways

At 295 hosts nearly every customer is of this kind, and each request is a call to the one leader.

Ruled out: shares for small customers, because a share below one token serves no request; a stock at each gateway, because a gateway sees a customer too rarely. The control hosts of a region see the sum.

Change: a control host that does not lead answers TakeTokens from a stock that the leader granted ahead, by the demand of the last second, else by a call to the leader for all requests that wait. Reserved tokens end after a lifetime that keeps them within the tolerated burst, and are granted only while the pool is more than half full. Gateways measure the round trips to the control hosts every 5 s and call the nearest, and the leader when that one refuses.

--- a/control/host.cpp
+++ b/control/host.cpp
@@ -110,6 +110,7 @@
     std::optional<Node> node;
     std::unique_ptr<SyncHandler> sync;
     std::unique_ptr<LeaderTasks> leaderTasks;
+    std::unique_ptr<TokenRelay> tokenRelay;
     std::unique_ptr<ControlServices> services;
     std::unique_ptr<PlatformPoller> platformPoller;
     std::unique_ptr<LeaderClient> leader;
@@ -135,7 +136,9 @@
     const RateTolerance tolerance{settings.control().rate_overshoot(), settings.control().rate_slack()};
     sync = std::make_unique<SyncHandler>(loop, *node, tolerance);
     leaderTasks = std::make_unique<LeaderTasks>(*node, *sync);
-    services = std::make_unique<ControlServices>(loop, *node, *sync);
+    tokenRelay = std::make_unique<TokenRelay>(loop, settings.host().rpc_listen(),
+                                              [this] { return sync->status().leader_address(); });
+    services = std::make_unique<ControlServices>(loop, *node, *sync, *tokenRelay);
     node->onChange([this] { onNodeChange(); });
     scheduleTick();
     thread = std::thread([this] { loop.run(); });
@@ -169,6 +172,9 @@
     const Time now = Clock::now();
     sync->tick(now);
     leaderTasks->tick(now);
+    if (!sync->leading()) {
+        tokenRelay->tick(now);
+    }
     for (const auto &member : sync->status().config().members()) {
         if (member.id() != memberId(settings)) {
             peers.setAddress(member.id(), member.rpc_address());
@@ -231,6 +237,7 @@
     platformPoller.reset();
     joiner.reset();
     operators.reset();
+    tokenRelay->stop();
     asio::post(loop, [this] { sync->stop(); });
 }
 
--- a/control/service.cpp
+++ b/control/service.cpp
@@ -42,10 +42,11 @@
 class ControlService final : public proto::Control::CallbackService
 {
 public:
-    ControlService(asio::io_context &loop, Node &node, SyncHandler &sync)
+    ControlService(asio::io_context &loop, Node &node, SyncHandler &sync, TokenRelay &tokenRelay)
         : m_loop(loop)
         , m_node(node)
         , m_sync(sync)
+        , m_tokenRelay(tokenRelay)
     {
     }
 
@@ -111,8 +112,15 @@
     {
         auto *reactor = context->DefaultReactor();
         asio::post(m_loop, [this, reactor, request, reply] {
-            *reply = m_sync.takeTokens(*request);
-            reactor->Finish(grpc::Status::OK);
+            const auto finish = [reactor, reply](const proto::TakeTokensReply &answer) {
+                *reply = answer;
+                reactor->Finish(grpc::Status::OK);
+            };
+            if (m_sync.leading() || request->relayed()) {
+                finish(m_sync.takeTokens(*request));
+            } else {
+                m_tokenRelay.take(*request, finish, Clock::now());
+            }
         });
         return reactor;
     }
@@ -189,6 +197,7 @@
     asio::io_context &m_loop;
     Node &m_node;
     SyncHandler &m_sync;
+    TokenRelay &m_tokenRelay;
     asio::thread_pool m_workers{1};
 };
 
@@ -197,9 +206,9 @@
 class ControlServices::Private
 {
 public:
-    Private(asio::io_context &loop, Node &node, SyncHandler &sync)
+    Private(asio::io_context &loop, Node &node, SyncHandler &sync, TokenRelay &tokenRelay)
         : raft(node)
-        , control(loop, node, sync)
+        , control(loop, node, sync, tokenRelay)
     {
     }
 
@@ -207,8 +216,8 @@
     ControlService control;
 };
 
-ControlServices::ControlServices(asio::io_context &loop, Node &node, SyncHandler &sync)
-    : d(std::make_unique<Private>(loop, node, sync))
+ControlServices::ControlServices(asio::io_context &loop, Node &node, SyncHandler &sync, TokenRelay &tokenRelay)
+    : d(std::make_unique<Private>(loop, node, sync, tokenRelay))
 {
 }
 
--- a/control/service.h
+++ b/control/service.h
@@ -10,6 +10,7 @@
 #include <asio/io_context.hpp>
 
 #include "control/sync.h"
+#include "control/tokenrelay.h"
 #include "ledger/node.h"
 
 namespace banyanledge
@@ -19,7 +20,7 @@
 {
 public:
     // `loop` is the event loop on which the methods of `sync` have to be called.
-    ControlServices(asio::io_context &loop, Node &node, SyncHandler &sync);
+    ControlServices(asio::io_context &loop, Node &node, SyncHandler &sync, TokenRelay &tokenRelay);
     ~ControlServices();
 
     std::vector<grpc::Service *> services();
--- a/control/sync.cpp
+++ b/control/sync.cpp
@@ -292,20 +292,35 @@
         return reply;
     }
     for (const auto &want : request.wants()) {
-        for (const auto &customer : m_objects.declaration.customers()) {
-            if (customer.name() == want.customer()) {
-                const double granted = m_rateShares.take(customer, want.amount(), now);
-                if (granted > 0) {
-                    auto *added = reply.add_granted();
-                    added->set_customer(want.customer());
-                    added->set_amount(granted);
-                }
-            }
+        const proto::DeclaredCustomer *customer = declaredCustomer(want.customer());
+        if (customer == nullptr) {
+            continue;
+        }
+        const double granted = m_rateShares.take(*customer, want.amount(), now);
+        const double reserved = m_rateShares.takeReserve(*customer, want.reserve(), now);
+        if (granted + reserved > 0) {
+            auto *added = reply.add_granted();
+            added->set_customer(want.customer());
+            added->set_amount(granted + reserved);
+            added->set_lifetime_ms(static_cast<std::uint32_t>(m_rateShares.reserveLifetime(*customer).count()));
         }
     }
     return reply;
 }
 
+const proto::DeclaredCustomer *SyncHandler::declaredCustomer(const std::string &name)
+{
+    if (m_customersRevision != m_objects.revision) {
+        m_customers.clear();
+        m_customersRevision = m_objects.revision;
+        for (const auto &customer : m_objects.declaration.customers()) {
+            m_customers[customer.name()] = &customer;
+        }
+    }
+    const auto found = m_customers.find(name);
+    return found == m_customers.end() ? nullptr : found->second;
+}
+
 void SyncHandler::refuse(const Call &call, proto::ErrorKind kind, const std::string &message)
 {
     proto::SyncReply reply;
--- a/control/sync.h
+++ b/control/sync.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -80,6 +81,7 @@
     const std::string &contentPart(Revision since);
     const std::string &fleetStatePart(Time now);
     const std::set<std::string> &entryHosts();
+    const proto::DeclaredCustomer *declaredCustomer(const std::string &name);
 
     asio::io_context &m_loop;
     Node &m_node;
@@ -102,6 +104,8 @@
     Time m_fleetStateBuiltAt{};
     std::set<std::string> m_entryHosts; // ids of the live and leaving entry hosts, which may serve requests
     Revision m_entryHostsRevision = 0;
+    std::unordered_map<std::string, const proto::DeclaredCustomer *> m_customers; // by name
+    Revision m_customersRevision = 0;
 };
 
 } // namespace banyanledge
--- a/decide/shares.cpp
+++ b/decide/shares.cpp
@@ -25,6 +25,14 @@
 // Minimum burst of one host's share; a smaller one would refuse two requests that arrive together.
 constexpr double minShareBurst = 2;
 
+// Fraction of a full pool that only requests that wait may take.
+constexpr double unreservedFraction = 0.5;
+
+// Fraction of what shares and pool leave of the tolerated burst that reserved tokens may use.
+constexpr double reserveHeadroomFraction = 0.7;
+
+constexpr milliseconds maxReserveLifetime{600};
+
 // Interval at which the sums over all hosts are recomputed; between recomputations they are updated incrementally.
 constexpr milliseconds sumInterval{250};
 
@@ -138,7 +146,7 @@
     return shares;
 }
 
-double RateShareAllocator::take(const proto::DeclaredCustomer &customer, double want, Time now)
+RateShareAllocator::TokenPool &RateShareAllocator::refilledPool(const proto::DeclaredCustomer &customer, Time now)
 {
     const RatePlan plan = ratePlan(customer, m_hostCount, m_tolerance);
     TokenPool &pool = m_tokenPools[customer.name()];
@@ -148,9 +156,33 @@
     const double age = std::chrono::duration<double>(now - pool.refilledAt).count();
     pool.tokens = std::min(plan.poolBurst, pool.tokens + plan.poolRate * std::max(0.0, age));
     pool.refilledAt = now;
+    return pool;
+}
+
+double RateShareAllocator::take(const proto::DeclaredCustomer &customer, double want, Time now)
+{
+    TokenPool &pool = refilledPool(customer, now);
     const double granted = std::min(std::floor(pool.tokens), std::ceil(want));
     pool.tokens -= granted;
     return granted;
 }
 
+double RateShareAllocator::takeReserve(const proto::DeclaredCustomer &customer, double want, Time now)
+{
+    TokenPool &pool = refilledPool(customer, now);
+    const double kept = ratePlan(customer, m_hostCount, m_tolerance).poolBurst * unreservedFraction;
+    const double granted = std::min(std::floor(std::max(0.0, pool.tokens - kept)), std::floor(want));
+    pool.tokens -= granted;
+    return granted;
+}
+
+milliseconds RateShareAllocator::reserveLifetime(const proto::DeclaredCustomer &customer) const
+{
+    const RatePlan plan = ratePlan(customer, m_hostCount, m_tolerance);
+    const double tolerated = customer.burst() * (1 + m_tolerance.overshoot) + m_tolerance.slack;
+    const double unused = std::max(0.0, tolerated - plan.shareBurst - plan.poolBurst);
+    const std::chrono::duration<double> lifetime(unused * reserveHeadroomFraction / plan.poolRate);
+    return std::min(maxReserveLifetime, std::chrono::duration_cast<milliseconds>(lifetime));
+}
+
 } // namespace banyanledge
--- a/decide/shares.h
+++ b/decide/shares.h
@@ -57,6 +57,13 @@
     // Takes whole tokens from a customer's token pool, at most `want` rounded up, and returns how many.
     double take(const proto::DeclaredCustomer &customer, double want, Time now);
 
+    // Takes whole tokens for later requests, at most `want`. Leaves a part of the pool for requests that wait.
+    double takeReserve(const proto::DeclaredCustomer &customer, double want, Time now);
+
+    // How long tokens of takeReserve() may be used. In any window, reserved tokens of the time before may be used in
+    // addition to those that the pool grants in it; this bounds them by what the shares and the pool leave.
+    milliseconds reserveLifetime(const proto::DeclaredCustomer &customer) const;
+
 private:
     // Share and demand of one customer, at one host or over all hosts.
     struct ReportedUse
@@ -79,6 +86,7 @@
     };
 
     void updateSums(const std::set<std::string> &hosts, Time now);
+    TokenPool &refilledPool(const proto::DeclaredCustomer &customer, Time now);
 
     RateTolerance m_tolerance;
     std::map<std::string, Holder> m_holders; // by host
--- a/fleet/controlclient.h
+++ b/fleet/controlclient.h
@@ -26,6 +26,7 @@
         std::function<void(proto::SyncRequest &)> addReport; // adds this host's report to each request
         // Called with each valid reply, before the callbacks of a new copy of the table; may be empty.
         std::function<void(const proto::SyncRequest &, const proto::SyncReply &)> onReply;
+        bool takesTokens = false; // takeTokens() will be called, so the nearest control host has to be known
         bool longTimeout = false; // longer Sync timeout, for hosts that keep serving without a lease
     };
 
@@ -63,8 +64,8 @@
     // Loads of busy entry hosts by id, 0 to 1, from the last reply. Hosts that are missing count as idle.
     std::map<std::string, double> hostLoads() const;
 
-    // Requests tokens of customers' rate limits from the leader, without a retry. `done` gets ERROR_UNAVAILABLE when
-    // the call failed or timed out; it runs on a gRPC thread.
+    // Requests tokens of customers' rate limits from the nearest control host, and once more from the leader if that
+    // host refuses. `done` gets ERROR_UNAVAILABLE when no control host answered in time; it runs on a gRPC thread.
     void takeTokens(const proto::TakeTokensRequest &request, milliseconds timeout,
                     const std::function<void(const proto::TakeTokensReply &)> &done);
 
--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -69,7 +69,7 @@
                [this](const proto::SyncRequest &request, const proto::SyncReply &reply) {
                    asio::post(loop, [this, request, reply] { gateway.applySyncReply(request, reply); });
                },
-               true /* longTimeout: the gateway keeps serving without a lease */})
+               true /* takesTokens */, true /* longTimeout: the gateway keeps serving without a lease */})
     {
     }
 
--- a/tests/test_hostlimits.cpp
+++ b/tests/test_hostlimits.cpp
@@ -9,7 +9,9 @@
 
 #include "decide/hostlimits.h"
 #include "decide/hostload.h"
+#include "decide/nearesthost.h"
 #include "decide/shares.h"
+#include "decide/tokenstock.h"
 
 using namespace banyanledge;
 
@@ -214,6 +216,96 @@
     CHECK(taken >= plan.poolRate * 10 - 2);
 }
 
+// Guards against tokens that a control host keeps, uses late and so adds to those that the pool grants meanwhile.
+TEST_CASE("reserved tokens that are used as late as possible keep the tolerance in every window")
+{
+    constexpr int windowSteps = 500; // of 10 ms
+    const RateTolerance tolerance{0.1, 20};
+    for (const double rate : {4.0, 16.0, 60.0, 400.0}) {
+        CAPTURE(rate);
+        RateShareAllocator shares;
+        shares.reset(tolerance, start);
+        const auto declaration = declarationWith(rate);
+        const auto &customer = declaration.customers(0);
+        const auto lifetimeSteps = shares.reserveLifetime(customer).count() / 10;
+        REQUIRE(lifetimeSteps > 5);
+        std::vector<double> used(4000);
+        for (std::size_t step = 0; step + 100 < used.size(); ++step) {
+            const Time now = start + milliseconds(10 * step);
+            // Nothing is used for 8 s, so that the pool is full; then everything that the leader grants.
+            if (step % 1000 >= 800) {
+                used[step] += shares.take(customer, 100, now);
+                used[step + static_cast<std::size_t>(lifetimeSteps)] += shares.takeReserve(customer, 100, now);
+            } else if (step % 1000 > 700) {
+                used[step + static_cast<std::size_t>(lifetimeSteps)] += shares.takeReserve(customer, 100, now);
+            }
+        }
+        const RatePlan plan = ratePlan(customer, 1, tolerance);
+        const double shared = plan.shareRate * 5 + plan.shareBurst;
+        const double bound = (rate * 5 + customer.burst()) * (1 + tolerance.overshoot) + tolerance.slack;
+        double sum = 0;
+        for (std::size_t step = 0; step < used.size(); ++step) {
+            sum += used[step] - (step >= windowSteps ? used[step - windowSteps] : 0);
+            REQUIRE(sum + shared <= bound);
+        }
+    }
+}
+
+TEST_CASE("requests that wait get tokens before a reserve is granted")
+{
+    RateShareAllocator shares;
+    shares.reset({}, start);
+    const auto declaration = declarationWith(4);
+    const auto &customer = declaration.customers(0);
+    const double burst = ratePlan(customer, 1, {}).poolBurst;
+    const Time full = start + std::chrono::seconds(60);
+    CHECK(shares.takeReserve(customer, 100, full) <= burst / 2);
+    CHECK(shares.takeReserve(customer, 100, full) == 0);
+    CHECK(shares.take(customer, 1, full) == 1);
+}
+
+TEST_CASE("a stock of tokens follows the demand and forgets what it did not use")
+{
+    TokenStock stock;
+    Time now = start;
+    CHECK(stock.refills(now).empty());
+    for (int i = 0; i < 40; ++i) {
+        now += milliseconds(100);
+        CHECK(stock.take("school", 1, now) == 0);
+    }
+    const auto refills = stock.refills(now);
+    REQUIRE(refills.size() == 1);
+    CHECK(refills[0].customer == "school");
+    CHECK(refills[0].amount >= 3);
+    CHECK(refills[0].amount <= 6);
+    stock.add("school", 2, now + milliseconds(200), now);
+    stock.add("school", 1, now + milliseconds(100), now);
+    CHECK(stock.take("school", 1, now) == 1);
+    CHECK(stock.take("school", 5, now + milliseconds(150)) == 2); // the one that expires first was used first
+    stock.add("school", 4, now + milliseconds(200), now);
+    CHECK(stock.take("school", 1, now + milliseconds(200)) == 0);
+    CHECK(stock.refills(now + std::chrono::seconds(10)).empty());
+}
+
+TEST_CASE("the nearest host is the one with the shortest measured round trip")
+{
+    NearestHost nearest;
+    const std::vector<std::string> hosts{"a", "b", "c"};
+    CHECK(nearest.choose(hosts).empty());
+    CHECK(nearest.takeDue(hosts, start) == hosts);
+    CHECK(nearest.takeDue(hosts, start).empty());
+    nearest.recordRoundTrip("a", milliseconds(110));
+    nearest.recordRoundTrip("b", milliseconds(3));
+    CHECK(nearest.choose(hosts) == "b");
+    // A host that failed is measured again before it is used again.
+    nearest.recordFailure("b", start);
+    CHECK(nearest.choose(hosts) == "a");
+    CHECK(nearest.takeDue(hosts, start + milliseconds(1000)) == std::vector<std::string>{"b"});
+    nearest.recordRoundTrip("b", milliseconds(4));
+    CHECK(nearest.choose(hosts) == "b");
+    CHECK(nearest.choose({"c"}).empty());
+}
+
 // Reports and answers are lost and hosts stop reporting in any order; the sum of the shares must never exceed the rate.
 TEST_CASE("shares never add up to more than the rate")
 {
--- a/tests/test_latency.cpp
+++ b/tests/test_latency.cpp
@@ -4,6 +4,8 @@
 #include <grpcpp/grpcpp.h>
 
 #include <filesystem>
+#include <future>
+#include <optional>
 #include <thread>
 
 #include <asio.hpp>
@@ -69,6 +71,12 @@
     DistantGroup(const DistantGroup &) = delete;
     DistantGroup &operator=(const DistantGroup &) = delete;
 
+    // Address of a member without its relay.
+    std::string nearAddress(int index) const
+    {
+        return m_listenAddresses[static_cast<std::size_t>(index)];
+    }
+
     // Addresses of the relays.
     std::vector<std::string> addresses() const
     {
@@ -124,6 +132,37 @@
     return command;
 }
 
+// Declaration with one customer that may send 100 requests a second, a quarter of them by tokens of the leader.
+proto::Command declaration()
+{
+    proto::Command command;
+    command.set_change_id("declaration");
+    command.set_actor("test");
+    auto &declared = *command.mutable_put_declaration()->mutable_declaration();
+    declared.set_version(1);
+    auto *customer = declared.add_customers();
+    customer->set_name("school");
+    customer->set_rate(100);
+    customer->set_burst(100);
+    return command;
+}
+
+// Time until the tokens for one request are granted; nullopt when they are not.
+std::optional<Duration> takeToken(ControlClient &client)
+{
+    proto::TakeTokensRequest request;
+    request.set_host("e1");
+    auto *want = request.add_wants();
+    want->set_customer("school");
+    want->set_amount(1);
+    auto result = std::make_shared<std::promise<bool>>();
+    const Time begin = Clock::now();
+    client.takeTokens(request, milliseconds(1500),
+                      [result](const proto::TakeTokensReply &reply) { result->set_value(reply.granted_size() == 1); });
+    const bool granted = result->get_future().get();
+    return granted ? std::optional(Clock::now() - begin) : std::nullopt;
+}
+
 ControlClient::Options clientOptions(const std::vector<std::string> &controlHosts)
 {
     ControlClient::Options options;
@@ -165,3 +204,35 @@
     CHECK(Clock::now() - changed < milliseconds(2500));
     client.stop();
 }
+
+// Guards against a round trip to the leader's region for each request of a customer without shares.
+TEST_CASE("a control host nearby grants tokens without a call to the distant leader")
+{
+    constexpr milliseconds oneWayDelay{55};
+    DistantGroup group(oneWayDelay);
+    const auto addresses = group.addresses();
+    LeaderClient leader([&addresses] { return addresses.front(); });
+    REQUIRE(leader.propose(declaration(), Clock::now() + startBound).kind() == proto::ERROR_NONE);
+    const std::string leaderAddress = leader.status(Clock::now() + milliseconds(2000)).leader_address();
+    const int near = addresses[0] == leaderAddress ? 1 : 0;
+    std::vector<std::string> controlHosts = addresses;
+    controlHosts[static_cast<std::size_t>(near)] = group.nearAddress(near);
+    auto options = clientOptions(controlHosts);
+    options.takesTokens = true;
+    ControlClient client(options);
+    client.start();
+    REQUIRE(eventually([&client] { return client.view()->declaration().version() == 1; }));
+    constexpr int requests = 60;
+    int granted = 0;
+    int fast = 0;
+    for (int i = 0; i < requests; ++i) {
+        std::this_thread::sleep_for(milliseconds(100));
+        const auto took = takeToken(client);
+        granted += took ? 1 : 0;
+        fast += took && *took < oneWayDelay ? 1 : 0;
+    }
+    CHECK(granted == requests);
+    // The first calls go to the leader, until the nearest host is known and has seen the demand.
+    CHECK(fast >= requests * 8 / 10);
+    client.stop();
+}
