Bound what a backend server may send without giving an answer

Cause, read from the code and shown by the test: the body of a refused or failed response was kept without a limit, so that a server in trouble that sends bytes without end fills the memory of the host until the request's deadline. Interim responses and responses to other requests without end held the client until its deadline.

Ruled out: a limit for bodies that are passed on. They are streamed, and bounded by the request's deadline and by what the client reads.

Change: a body that is not passed on ends the attempt at 256 KB, and bytes before the head of the response end it at 1 MB. The connection is closed, the server's failure counted, and the request repeated where its route allows it, else 502.

Not run: the memory of a gateway process with 200 such servers.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -28,6 +28,10 @@
 // Reading from the server pauses when more bytes than this wait to be sent to the client, until they have been sent.
 constexpr std::size_t maxUnsentBytes = 512UL * 1024;
 
+// Longest body of a response that is not passed on at once, because the server refused or failed. A longer one may be
+// without end, and ends the attempt.
+constexpr std::size_t maxErrorBodyBytes = 256UL * 1024;
+
 // Least time left for which another attempt is made.
 constexpr milliseconds minAttemptTime{25};
 
@@ -164,6 +168,7 @@
 
 void ForwardedRequest::onResponseBody(const std::string &bytes)
 {
+    const auto self = shared_from_this(); // the end of the attempt may release the last other reference
     Attempt &attempt = *m_attempt;
     attempt.body += bytes;
     const bool deliverable = !attempt.refused && !attempt.failed;
@@ -172,6 +177,9 @@
     }
     if (m_streaming) {
         forwardBody();
+    } else if (!deliverable && attempt.body.size() > maxErrorBodyBytes) {
+        attempt.upstreamAttempt->cancel();
+        onAttemptEnd(AttemptResult::NoResponse, "error response longer than the limit");
     }
 }
 
--- a/gateway/upstream.cpp
+++ b/gateway/upstream.cpp
@@ -31,6 +31,10 @@
 // Maximum idle time of a connection, also when the server states no keep-alive timeout.
 constexpr milliseconds maxIdleTimeout{7000};
 
+// Bytes that a server may send before the head of its response: interim responses, responses to other requests and the
+// head itself. A faulty server may send them without end.
+constexpr std::size_t maxBytesBeforeHead = 1024UL * 1024;
+
 // Maximum number of idle connections per server.
 constexpr std::size_t maxIdleConnections = 8;
 
@@ -120,7 +124,8 @@
 
     void cancel() override
     {
-        m_handlers = {};
+        // Posted, because a handler that is running may have cancelled the attempt.
+        asio::post(m_pool->loop, [handlers = std::exchange(m_handlers, {})] {});
         close();
     }
 
@@ -175,6 +180,7 @@
         m_paused = false;
         m_headDelivered = false;
         m_skipping = false;
+        m_bytesBeforeHead = 0;
     }
 
     void write()
@@ -229,11 +235,17 @@
         }
         std::string_view bytes(m_readBuffer.data(), size);
         while (!bytes.empty() && m_inUse && !m_closed) {
-            bytes.remove_prefix(m_parser.feed(bytes));
+            const std::size_t used = m_parser.feed(bytes);
+            bytes.remove_prefix(used);
             if (m_parser.failed()) {
                 fail(AttemptResult::NoResponse, "invalid HTTP response: " + m_parser.errorMessage());
                 return;
             }
+            m_bytesBeforeHead += m_headDelivered ? 0 : used;
+            if (m_bytesBeforeHead > maxBytesBeforeHead) {
+                fail(AttemptResult::NoResponse, "too many bytes before the head of the response");
+                return;
+            }
             if (!onParsed(!bytes.empty())) {
                 break;
             }
@@ -346,6 +358,7 @@
     bool m_reading = false;
     bool m_paused = false;
     bool m_headDelivered = false;
+    std::size_t m_bytesBeforeHead = 0; // of the current request's response
     bool m_skipping = false; // the current response is interim (1xx) or belongs to another request
     bool m_closed = false;
 };
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -442,6 +442,46 @@
     CHECK(receivedRequestCount(fixture) == 8);
 }
 
+// Guards against a response without end, which would fill the memory of the host and hold the client until its deadline.
+TEST_CASE("bytes without end from a server end the attempt, and the client gets a true answer soon")
+{
+    const std::string signedHead = "Req-Id: a\r\nSigned: s\r\n";
+    const auto [head, repeated] = GENERATE_COPY(table<std::string, std::string>({
+        {"HTTP/1.1 500 X\r\n" + signedHead + "\r\n", "body without a length "},
+        {"HTTP/1.1 503 X\r\n" + signedHead + "Not-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "10\r\n0123456789abcdef\r\n"},
+        {"HTTP/1.1 200 X\r\nReq-Id: a\r\n\r\n", "no signature "},
+        {"HTTP/1.1 200 X\r\nReq-Id: another\r\n\r\n", "response to another request "},
+        {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+        {"HTTP/1.1 200 X\r\n", "X-Endless: head\r\n"},
+        {"", "bytes that are no response "},
+    }));
+    CAPTURE(head, repeated);
+    GatewayFixture fixture(1);
+    std::string piece;
+    while (piece.size() < 16384) {
+        piece += repeated;
+    }
+    std::size_t sent = 0;
+    std::function<void(Connection)> sendPiece = [&](const Connection &connection) {
+        if (fixture.servers[0].disconnects == 0) {
+            connection->write(piece);
+            sent += piece.size();
+            asio::post(fixture.loop, [&sendPiece, connection] { sendPiece(connection); });
+        }
+    };
+    setRequestHandlers(fixture, [&, head = head](const Connection &connection, const ReceivedRequest &) {
+        connection->write(head);
+        sendPiece(connection);
+    });
+    const Time begin = Clock::now();
+    const auto response = fixture.call(GatewayFixture::request("unsafe", "a", "Left-Ms: 8000\r\n"));
+    CHECK(response.status() == 502); // the server may have run it
+    CHECK(Clock::now() - begin < milliseconds(2000));
+    fixture.runUntil([&] { return fixture.servers[0].disconnects > 0; });
+    CHECK(sent < 8UL * 1024 * 1024);
+}
+
 // Two requests arrive in one write; the second is still answered when closeAfterResponses() follows the first response.
 TEST_CASE("pipelined requests on one connection are answered in order")
 {
