--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -245,8 +245,9 @@
         return false;
     };
     if (control.election_timeout_ms() < 3 * control.heartbeat_ms()) {
-        return reject("contradicts heartbeat_ms; write at least 3 times heartbeat_ms, so that one lost heartbeat starts "
-                      "no election");
+        return reject(
+            "contradicts heartbeat_ms; write at least 3 times heartbeat_ms, so that one lost heartbeat starts "
+            "no election");
     }
     if (control.election_timeout_ms() < 2 * control.round_trip_ms()) {
         return reject("contradicts round_trip_ms; write at least 2 times round_trip_ms, because an election takes two "
--- a/control/tokenrelay.cpp
+++ b/control/tokenrelay.cpp
@@ -147,17 +147,16 @@
     call->sent = now;
     call->context.set_deadline(std::chrono::system_clock::now() + leaderCallTimeout);
     call->stub = proto::Control::NewStub(channels.channel(call->address, now));
-    call->stub->async()->TakeTokens(
-        &call->context, &call->request, &call->reply,
-        [self = shared_from_this(), call, refills](const grpc::Status &status) {
-            asio::post(self->loop, [self, call, refills, ok = status.ok()] {
-                self->refillActive = self->refillActive && !refills;
-                self->endCall(call, ok, Clock::now());
-            });
-            const std::lock_guard lock(self->mutex);
-            self->activeCalls.erase(&call->context);
-            self->callEnded.notify_all();
-        });
+    call->stub->async()->TakeTokens(&call->context, &call->request, &call->reply,
+                                    [self = shared_from_this(), call, refills](const grpc::Status &status) {
+                                        asio::post(self->loop, [self, call, refills, ok = status.ok()] {
+                                            self->refillActive = self->refillActive && !refills;
+                                            self->endCall(call, ok, Clock::now());
+                                        });
+                                        const std::lock_guard lock(self->mutex);
+                                        self->activeCalls.erase(&call->context);
+                                        self->callEnded.notify_all();
+                                    });
 }
 
 // Returns false if no further call may be outstanding.
--- a/decide/tokenstock.cpp
+++ b/decide/tokenstock.cpp
@@ -50,8 +50,8 @@
     }
     found->second.usableTime = expiry - now;
     auto &tokens = found->second.tokens;
-    const auto later = std::find_if(tokens.begin(), tokens.end(),
-                                    [expiry](const Tokens &other) { return other.expiry > expiry; });
+    const auto later =
+        std::find_if(tokens.begin(), tokens.end(), [expiry](const Tokens &other) { return other.expiry > expiry; });
     tokens.insert(later, {amount, expiry});
 }
 
--- a/decide/tokenstock.h
+++ b/decide/tokenstock.h
@@ -43,7 +43,7 @@
     {
         std::deque<Tokens> tokens; // in the order of their expiry
         RateEstimator demand;
-        Duration usableTime; // of the last tokens, from their arrival to their expiry
+        Duration usableTime{}; // of the last tokens, from their arrival to their expiry
     };
 
     static void removeExpired(Customer &customer, Time now);
--- a/fleet/controlclient.cpp
+++ b/fleet/controlclient.cpp
@@ -321,9 +321,8 @@
     call->context->set_deadline(systemClockDeadline(call->deadline - Clock::now()));
     call->address = address;
     call->sent = Clock::now();
-    stubFor(address)->async()->TakeTokens(
-        call->context.get(), &call->request, &call->reply,
-        [this, call](const grpc::Status &status) { finishTokenCall(call, status); });
+    stubFor(address)->async()->TakeTokens(call->context.get(), &call->request, &call->reply,
+                                          [this, call](const grpc::Status &status) { finishTokenCall(call, status); });
 }
 
 // Asks the current control host when the nearest one refused. A call that timed out is not repeated, because the
@@ -349,7 +348,8 @@
     if (!status.ok()) {
         channels.recordFailure(call->address, now);
     }
-    if (failed && !call->isMeasurement && !call->repeated && now < call->deadline && !current.empty() && current != call->address) {
+    if (failed && !call->isMeasurement && !call->repeated && now < call->deadline && !current.empty()
+        && current != call->address) {
         call->repeated = true;
         call->reply.Clear();
         call->firstContext = std::move(call->context);
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -110,7 +110,8 @@
     // Mean load per slot of the healthy servers of a service in the host's own region, or in all other regions.
     double loadPerSlot(const RoutedService &service, bool inHomeRegion, Time now);
 
-    // Candidates of every service of `routing`, by region. Kept because a request must not cost a look-up of each server.
+    // Candidates of every service of `routing`, by region. Kept because a request must not cost a look-up of each
+    // server.
     std::unordered_map<const RoutedService *, std::map<std::string, RegionCandidates>> m_candidates;
 
     // RoutedServer::fingerprint of the last use, by server id; empty while a server gets no requests.
--- a/tests/raft_simulation.cpp
+++ b/tests/raft_simulation.cpp
@@ -135,7 +135,8 @@
 void SimulatedGroup::send(const proto::RaftMessage &message, Duration sendDelay)
 {
     const auto delay = [this, sendDelay] {
-        return sendDelay + m_faults.latency + randomDuration(chance(m_faults.delayed) ? milliseconds(400) : milliseconds(5));
+        return sendDelay + m_faults.latency
+            + randomDuration(chance(m_faults.delayed) ? milliseconds(400) : milliseconds(5));
     };
     if (!chance(m_faults.loss)) {
         m_network.emplace(m_now + delay(), message);
--- a/tests/relay.cpp
+++ b/tests/relay.cpp
@@ -111,19 +111,19 @@
 
 void Relay::read(const SessionPtr &session, Direction &direction)
 {
-    direction.from.async_read_some(
-        asio::buffer(direction.buffer), [this, session, &direction](const asio::error_code &error, std::size_t size) {
-            if (error) {
-                close(session);
-                return;
-            }
-            if (!m_partitioned) {
-                direction.chunks.push_back({std::chrono::steady_clock::now() + m_oneWayDelay,
-                                            std::string(direction.buffer.data(), size)});
-                write(session, direction);
-            }
-            read(session, direction);
-        });
+    direction.from.async_read_some(asio::buffer(direction.buffer),
+                                   [this, session, &direction](const asio::error_code &error, std::size_t size) {
+                                       if (error) {
+                                           close(session);
+                                           return;
+                                       }
+                                       if (!m_partitioned) {
+                                           direction.chunks.push_back({std::chrono::steady_clock::now() + m_oneWayDelay,
+                                                                       std::string(direction.buffer.data(), size)});
+                                           write(session, direction);
+                                       }
+                                       read(session, direction);
+                                   });
 }
 
 void Relay::write(const SessionPtr &session, Direction &direction)
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -442,7 +442,8 @@
     CHECK(receivedRequestCount(fixture) == 8);
 }
 
-// Guards against a response without end, which would fill the memory of the host and hold the client until its deadline.
+// Guards against a response without end, which would fill the memory of the host and hold the client until its
+// deadline.
 TEST_CASE("bytes without end from a server end the attempt, and the client gets a true answer soon")
 {
     const std::string signedHead = "Req-Id: a\r\nSigned: s\r\n";
--- a/tests/test_latency.cpp
+++ b/tests/test_latency.cpp
@@ -49,8 +49,8 @@
         std::vector<std::string> members;
         for (int i = 0; i < memberCount; ++i) {
             m_listenAddresses.push_back(freeAddress());
-            m_relays.push_back(std::make_unique<standin::Relay>(m_loop, "127.0.0.1:0", m_listenAddresses.back(),
-                                                                oneWayDelay));
+            m_relays.push_back(
+                std::make_unique<standin::Relay>(m_loop, "127.0.0.1:0", m_listenAddresses.back(), oneWayDelay));
             members.push_back("c" + std::to_string(i) + "=" + m_relays.back()->address());
         }
         m_thread = std::thread([this] { m_loop.run(); });
--- a/tests/test_raft.cpp
+++ b/tests/test_raft.cpp
@@ -106,8 +106,8 @@
     }
 }
 
-// Guards against a leader that steps down after each sync, because it looks at its timers before the replies that arrived
-// meanwhile, and whose heartbeats wait for the disk.
+// Guards against a leader that steps down after each sync, because it looks at its timers before the replies that
+// arrived meanwhile, and whose heartbeats wait for the disk.
 TEST_CASE("members whose disks sync as slowly as the election timeout elect a leader and commit")
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
