Move the token calls of a host into a class of their own

TokenCalls now holds the round trips, the calls and their repetition at the leader; ControlClient passes on the addresses that it knows.

Test: test_latency "a token call that the nearest control host refuses goes to the leader".

--- a/fleet/controlclient.cpp
+++ b/fleet/controlclient.cpp
@@ -12,7 +12,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/packing.h"
-#include "decide/nearesthost.h"
+#include "fleet/tokencalls.h"
 
 namespace banyanledge
 {
@@ -32,9 +32,6 @@
 // retry would add the same traffic again.
 constexpr milliseconds longSyncTimeout{1400};
 
-// Timeout of a call that measures a round trip.
-constexpr milliseconds roundTripTimeout{1000};
-
 // Delay before the next Sync or Propose call after a failed one.
 constexpr milliseconds retryDelay{20};
 
@@ -84,21 +81,6 @@
     std::string address;
 };
 
-// Outstanding TakeTokens call, which is sent to a second host if the first one refuses it.
-struct TokenCall
-{
-    std::unique_ptr<grpc::ClientContext> firstContext; // of the refused attempt, which ends only after its callback
-    std::unique_ptr<grpc::ClientContext> context;
-    proto::TakeTokensRequest request;
-    proto::TakeTokensReply reply;
-    std::string address;
-    Time sent{};
-    Time deadline{};
-    std::function<void(const proto::TakeTokensReply &)> done; // empty for a measurement
-    bool isMeasurement = false;
-    bool repeated = false;
-};
-
 // Caller of whenFresh().
 struct Waiter
 {
@@ -130,10 +112,7 @@
     void finishProposeCall(const std::shared_ptr<Proposal> &proposal, const ProposeCall &proposeCall,
                            const grpc::Status &status);
     bool isFresh(Time now) const;
-    std::string tokenHost();
-    void measureRoundTrips(Time now);
-    void sendTokenCall(const std::shared_ptr<TokenCall> &call, const std::string &address);
-    void finishTokenCall(const std::shared_ptr<TokenCall> &call, const grpc::Status &status);
+    ControlHosts knownHosts() const;
 
     const Options options;
     std::thread thread;
@@ -143,7 +122,6 @@
     proto::MemberState state = proto::MEMBER_LIVE;
     std::string currentHost; // address of the control host that is called
     std::vector<std::string> controlHosts; // addresses from the settings and from replies
-    NearestHost nearestHost; // among controlHosts, for token calls
     std::shared_ptr<SyncCall> syncCall; // outstanding or not yet handled; null if none
     std::vector<Waiter> waiters;
     std::multimap<Time, std::function<void()>> timers;
@@ -151,9 +129,10 @@
     std::vector<proto::PoolLoad> poolLoads; // of the last reply
     Time poolLoadsReceivedAt{};
     std::map<std::string, double> hostLoads; // of busy hosts, by id
-    int outstandingCalls = 0; // of propose() and takeTokens()
+    int outstandingCalls = 0; // of propose()
     bool lastSyncFailed = false; // the last Sync call failed; used on this client's thread only
     ChannelCache channels;
+    TokenCalls tokenCalls{channels};
 
     std::atomic<std::shared_ptr<const View>> view{std::make_shared<const View>()};
     std::atomic<Time> freshUntil{Time::min()};
@@ -186,6 +165,7 @@
         }
     }
     d->condition.notify_all();
+    d->tokenCalls.stop();
     if (d->thread.joinable()) {
         d->thread.join();
     }
@@ -279,89 +259,13 @@
 void ControlClient::takeTokens(const proto::TakeTokensRequest &request, milliseconds timeout,
                                const std::function<void(const proto::TakeTokensReply &)> &done)
 {
-    const auto call = std::make_shared<TokenCall>();
-    call->request = request;
-    call->deadline = Clock::now() + timeout;
-    call->done = done;
-    {
-        const std::lock_guard lock(d->mutex);
-        ++d->outstandingCalls;
-    }
-    d->sendTokenCall(call, d->tokenHost());
-}
-
-// Measures the round trips to the control hosts by token calls that want nothing.
-void ControlClient::Private::measureRoundTrips(Time now)
-{
-    std::vector<std::string> due;
-    {
-        const std::lock_guard lock(mutex);
-        due = nearestHost.takeDue(controlHosts, now);
-        outstandingCalls += static_cast<int>(due.size());
-    }
-    for (const std::string &address : due) {
-        const auto call = std::make_shared<TokenCall>();
-        call->deadline = now + roundTripTimeout;
-        call->isMeasurement = true;
-        sendTokenCall(call, address);
-    }
-}
-
-// Host to ask for tokens: the nearest control host, which keeps some for its region, else the current one.
-std::string ControlClient::Private::tokenHost()
-{
-    const std::lock_guard lock(mutex);
-    const std::string nearest = nearestHost.choose(controlHosts);
-    return nearest.empty() ? currentHost : nearest;
+    d->tokenCalls.take(request, d->knownHosts(), Clock::now() + timeout, done);
 }
 
-void ControlClient::Private::sendTokenCall(const std::shared_ptr<TokenCall> &call, const std::string &address)
+ControlHosts ControlClient::Private::knownHosts() const
 {
-    call->context = std::make_unique<grpc::ClientContext>();
-    call->context->set_deadline(systemClockDeadline(call->deadline - Clock::now()));
-    call->address = address;
-    call->sent = Clock::now();
-    stubFor(address)->async()->TakeTokens(call->context.get(), &call->request, &call->reply,
-                                          [this, call](const grpc::Status &status) { finishTokenCall(call, status); });
-}
-
-// Asks the current control host when the nearest one refused. A call that timed out is not repeated, because the
-// requests that wait for it wait no longer.
-void ControlClient::Private::finishTokenCall(const std::shared_ptr<TokenCall> &call, const grpc::Status &status)
-{
-    const Time now = Clock::now();
-    if (!status.ok()) {
-        call->reply.set_kind(proto::ERROR_UNAVAILABLE);
-        call->reply.set_message(status.error_message());
-    }
-    const bool failed = call->reply.kind() != proto::ERROR_NONE && call->reply.granted_size() == 0;
-    std::string current;
-    {
-        const std::lock_guard lock(mutex);
-        if (failed) {
-            nearestHost.recordFailure(call->address, now);
-        } else if (call->isMeasurement) {
-            nearestHost.recordRoundTrip(call->address, now - call->sent);
-        }
-        current = stopping ? std::string() : currentHost;
-    }
-    if (!status.ok()) {
-        channels.recordFailure(call->address, now);
-    }
-    if (failed && !call->isMeasurement && !call->repeated && now < call->deadline && !current.empty()
-        && current != call->address) {
-        call->repeated = true;
-        call->reply.Clear();
-        call->firstContext = std::move(call->context);
-        sendTokenCall(call, current);
-        return;
-    }
-    if (call->done) {
-        call->done(call->reply);
-    }
     const std::lock_guard lock(mutex);
-    --outstandingCalls;
-    condition.notify_all();
+    return {controlHosts, currentHost};
 }
 
 bool ControlClient::Private::isFresh(Time now) const
@@ -509,7 +413,7 @@
     }
     freshUntil = std::max(freshUntil.load(), finished.sent + freshnessLease);
     if (options.takesTokens) {
-        measureRoundTrips(Clock::now());
+        tokenCalls.measureRoundTrips(knownHosts(), Clock::now());
     }
     if (std::exchange(lastSyncFailed, false)) {
         logInfo("control leader reachable again", {{"address", finished.address}});
--- a/tests/test_latency.cpp
+++ b/tests/test_latency.cpp
@@ -3,6 +3,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <atomic>
 #include <filesystem>
 #include <future>
 #include <optional>
@@ -14,6 +15,7 @@
 #include "control/host.h"
 #include "control/leader.h"
 #include "fleet/controlclient.h"
+#include "fleet/tokencalls.h"
 #include "ledger_group.h"
 #include "relay.h"
 
@@ -163,6 +165,48 @@
     return granted ? std::optional(Clock::now() - begin) : std::nullopt;
 }
 
+// A control host that answers token calls: it grants each one, or refuses as a host without a leader does.
+class ScriptedControlHost final : public proto::Control::Service
+{
+public:
+    explicit ScriptedControlHost(bool grants)
+        : m_grants(grants)
+    {
+        grpc::ServerBuilder builder;
+        builder.AddListeningPort("127.0.0.1:0", grpc::InsecureServerCredentials(), &m_port);
+        builder.RegisterService(this);
+        m_server = builder.BuildAndStart();
+    }
+    ~ScriptedControlHost() override
+    {
+        m_server->Shutdown(std::chrono::system_clock::now());
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_port);
+    }
+
+    grpc::Status TakeTokens(grpc::ServerContext *, const proto::TakeTokensRequest *request,
+                            proto::TakeTokensReply *reply) override
+    {
+        calls += request->wants_size() > 0 ? 1 : 0;
+        if (!m_grants && request->wants_size() > 0) {
+            reply->set_kind(proto::ERROR_UNAVAILABLE);
+            return grpc::Status::OK;
+        }
+        *reply->mutable_granted() = request->wants();
+        return grpc::Status::OK;
+    }
+
+    std::atomic<int> calls{0}; // that want tokens
+
+private:
+    const bool m_grants;
+    int m_port = 0;
+    std::unique_ptr<grpc::Server> m_server;
+};
+
 ControlClient::Options clientOptions(const std::vector<std::string> &controlHosts)
 {
     ControlClient::Options options;
@@ -236,3 +280,33 @@
     CHECK(fast >= requests * 8 / 10);
     client.stop();
 }
+
+// Guards against a nearest control host that knows no leader and refuses all requests of the hosts near it.
+TEST_CASE("a token call that the nearest control host refuses goes to the leader")
+{
+    ScriptedControlHost nearest(false);
+    ScriptedControlHost leader(true);
+    ChannelCache channels;
+    TokenCalls calls(channels);
+    const ControlHosts hosts{{nearest.address()}, leader.address()};
+    calls.measureRoundTrips(hosts, Clock::now());
+    std::this_thread::sleep_for(milliseconds(500)); // until the nearest host is known
+    proto::TakeTokensRequest request;
+    request.add_wants()->set_customer("school");
+    request.mutable_wants(0)->set_amount(1);
+    const auto take = [&] {
+        auto result = std::make_shared<std::promise<proto::TakeTokensReply>>();
+        calls.take(request, hosts, Clock::now() + milliseconds(2000),
+                   [result](const proto::TakeTokensReply &reply) { result->set_value(reply); });
+        return result->get_future().get();
+    };
+    CHECK(take().granted_size() == 1);
+    CHECK(nearest.calls == 1);
+    CHECK(leader.calls == 1);
+    // The host that refused is left out until it answers a measurement again.
+    CHECK(take().granted_size() == 1);
+    CHECK(nearest.calls == 1);
+    CHECK(leader.calls == 2);
+    calls.stop();
+    CHECK(take().kind() == proto::ERROR_UNAVAILABLE);
+}
