Log and count why a connection was closed with requests in progress

Callers of two deployments saw connections closed without an answer. The line of a request now names the reason, and banyanledge_http_requests_cut_total counts requests by it.

--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -58,7 +58,7 @@
     if (!admit()) {
         return;
     }
-    m_call->onDisconnect([self = shared_from_this()] { self->onClientDisconnected(); });
+    m_call->onDisconnect([self = shared_from_this()](CloseReason reason) { self->onDisconnected(reason); });
     if (m_finished) {
         return;
     }
@@ -227,7 +227,7 @@
     }
 }
 
-void ForwardedRequest::onClientDisconnected()
+void ForwardedRequest::onDisconnected(CloseReason reason)
 {
     if (m_finished) {
         return;
@@ -237,7 +237,7 @@
         releaseServer();
         m_attempt.reset();
     }
-    finish(0, "the client closed the connection");
+    finish(0, std::string("connection closed without a whole response: ") + closeReasonText(reason));
 }
 
 void ForwardedRequest::reject(int status, const std::string &reason, Duration retryAfter)
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -69,7 +69,7 @@
     void reject(int status, const std::string &reason, Duration retryAfter);
     void giveUp(const std::string &reason);
     void onTimeout();
-    void onClientDisconnected();
+    void onDisconnected(CloseReason reason);
     void releaseServer();
     void finish(int status, const std::string &reason);
     Duration timeLeft(Time now) const;
--- a/net/connection.cpp
+++ b/net/connection.cpp
@@ -7,6 +7,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "base/metrics.h"
+
 namespace banyanledge
 {
 
@@ -24,6 +26,25 @@
 
 } // namespace
 
+const char *closeReasonText(CloseReason reason)
+{
+    switch (reason) {
+    case CloseReason::ClientClosed:
+        return "closed by the client";
+    case CloseReason::WriteFailed:
+        return "the client acknowledges no bytes";
+    case CloseReason::IdleTimeout:
+        return "idle timeout";
+    case CloseReason::EarlierResponseLast:
+        return "an earlier response closed the connection";
+    case CloseReason::EarlierResponseCut:
+        return "an earlier response was cut";
+    case CloseReason::ServerStopped:
+        return "the server stopped";
+    }
+    return "unknown";
+}
+
 PendingCall::PendingCall(std::shared_ptr<Connection> connection, HttpRequest request)
     : m_connection(std::move(connection))
     , m_request(std::move(request))
@@ -128,11 +149,11 @@
     m_connection->abortCall(*this);
 }
 
-void PendingCall::onDisconnect(std::function<void()> callback)
+void PendingCall::onDisconnect(std::function<void(CloseReason)> callback)
 {
     m_disconnectCallback = std::move(callback);
     if (m_disconnected && m_disconnectCallback) {
-        std::exchange(m_disconnectCallback, {})();
+        std::exchange(m_disconnectCallback, {})(*m_disconnected);
     }
 }
 
@@ -155,7 +176,7 @@
     return m_calls.empty() && m_input.empty() && !m_requestStarted && !m_lingering;
 }
 
-void Connection::close()
+void Connection::close(CloseReason reason)
 {
     if (m_closed) {
         return;
@@ -166,12 +187,22 @@
     m_socket.close(ignored);
     m_timer.cancel();
     m_owner->removeConnection(self);
+    disconnectCalls(reason);
+}
+
+// Tells the requests in progress that their responses can't be sent any more.
+void Connection::disconnectCalls(CloseReason reason)
+{
     const auto calls = std::exchange(m_calls, {});
     for (const auto &call : calls) {
-        call->m_disconnected = true;
+        if (call->m_aborted) {
+            continue;
+        }
+        countMetric("banyanledge_http_requests_cut_total", {{"reason", closeReasonText(reason)}});
+        call->m_disconnected = reason;
         call->m_drainedCallback = {};
         if (const auto callback = std::exchange(call->m_disconnectCallback, {})) {
-            callback();
+            callback(reason);
         }
     }
 }
@@ -195,7 +226,7 @@
         return;
     }
     if (error) {
-        close();
+        close(CloseReason::ClientClosed);
         return;
     }
     if (!m_lingering) {
@@ -368,7 +399,7 @@
         return;
     }
     if (error) {
-        close();
+        close(CloseReason::WriteFailed);
         return;
     }
     const auto front = m_calls.empty() ? nullptr : m_calls.front();
@@ -417,7 +448,7 @@
 {
     asio::error_code ignored; // the connection is closed whether or not this fails
     m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
-    close();
+    close(CloseReason::EarlierResponseCut);
 }
 
 // Shuts down sending and closes the connection after lingerTimeout. Closing at once with unread bytes would reset the
@@ -426,23 +457,16 @@
 {
     m_lingering = true;
     m_input.clear();
-    const auto calls = std::exchange(m_calls, {});
-    for (const auto &call : calls) {
-        call->m_disconnected = true;
-        call->m_drainedCallback = {};
-        if (const auto callback = std::exchange(call->m_disconnectCallback, {})) {
-            callback();
-        }
-    }
+    disconnectCalls(CloseReason::EarlierResponseLast);
     asio::error_code ignored; // the client may have closed already
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    startTimer(lingerTimeout, [this] { close(); });
+    startTimer(lingerTimeout, [this] { close(CloseReason::EarlierResponseLast); });
     read();
 }
 
 void Connection::startIdleTimer()
 {
-    startTimer(m_limits.idleTimeout, [this] { close(); });
+    startTimer(m_limits.idleTimeout, [this] { close(CloseReason::IdleTimeout); });
 }
 
 void Connection::startHeaderTimer()
--- a/net/connection.h
+++ b/net/connection.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "net/server.h"
@@ -32,7 +33,7 @@
     std::size_t bufferedBytes() const override;
     void onDrained(std::function<void()> callback) override;
     void abort() override;
-    void onDisconnect(std::function<void()> callback) override;
+    void onDisconnect(std::function<void(CloseReason)> callback) override;
 
     // Whether the response may still be continued.
     bool open() const;
@@ -46,11 +47,11 @@
     bool m_started = false;
     bool m_ended = false; // the whole response was passed to this call
     bool m_aborted = false; // the connection is reset instead of continuing this response
-    bool m_disconnected = false;
+    std::optional<CloseReason> m_disconnected; // the connection was closed before the response had ended
     bool m_chunked = false;
     bool m_noBody = false; // the response has no body
     bool m_closeAfterResponse = false;
-    std::function<void()> m_disconnectCallback;
+    std::function<void(CloseReason)> m_disconnectCallback;
     std::function<void()> m_drainedCallback;
 };
 
@@ -78,7 +79,7 @@
     // Whether no request is in progress or partly received.
     bool idle() const;
 
-    void close();
+    void close(CloseReason reason);
 
 private:
     friend class PendingCall;
@@ -102,6 +103,7 @@
     void abortCall(const PendingCall &call);
     void reset();
     void linger();
+    void disconnectCalls(CloseReason reason);
     void startIdleTimer();
     void startHeaderTimer();
     void startTimer(Duration time, std::function<void()> expired);
--- a/net/server.cpp
+++ b/net/server.cpp
@@ -137,7 +137,7 @@
     stopAccepting();
     const auto connections = d->connections;
     for (const auto &connection : connections) {
-        connection->close();
+        connection->close(CloseReason::ServerStopped);
     }
 }
 
@@ -151,7 +151,7 @@
     const auto connections = d->connections;
     for (const auto &connection : connections) {
         if (connection->idle()) {
-            connection->close();
+            connection->close(CloseReason::ServerStopped);
         }
     }
 }
--- a/net/server.h
+++ b/net/server.h
@@ -22,6 +22,19 @@
     Time receiveEnd{}; // when the last byte arrived
 };
 
+// Why a connection was closed.
+enum class CloseReason {
+    ClientClosed, // also when the client reset the connection or shut down its sending side
+    WriteFailed, // the client acknowledges no bytes
+    IdleTimeout,
+    EarlierResponseLast, // a response before those that are missing declared that it closes the connection
+    EarlierResponseCut, // a response before those that are missing could not be completed
+    ServerStopped
+};
+
+// Text for logs and metric labels, e.g. "idle timeout".
+const char *closeReasonText(CloseReason reason);
+
 // One request and its response. All functions run on the server's loop; those that respond do nothing once the client
 // has disconnected.
 class HttpCall
@@ -51,8 +64,8 @@
     // Resets the connection, so that a started response does not look complete.
     virtual void abort() = 0;
 
-    // Calls back when the client closes the connection before the response has ended.
-    virtual void onDisconnect(std::function<void()> callback) = 0;
+    // Calls back when the connection is closed before the response has ended.
+    virtual void onDisconnect(std::function<void(CloseReason)> callback) = 0;
 };
 
 // Size limits and timeouts of client requests.
--- a/tests/test_server.cpp
+++ b/tests/test_server.cpp
@@ -32,7 +32,7 @@
             const std::string path = call->request().head.target;
             m_arrivals.push_back(path);
             calls[path] = call;
-            call->onDisconnect([this, path] { disconnected.push_back(path); });
+            call->onDisconnect([this, path](CloseReason) { disconnected.push_back(path); });
         };
         options.mayRepeat = [](const HttpHead &head) { return !head.target.starts_with("/once"); };
         for (unsigned short port = 20000; !server && port < 20200; ++port) {
