Keep a timer from ending the request that follows the state it was set for

Callers saw requests on kept connections passed on to backend servers and their connection closed without an answer (LOST).

Cause: while the process stands still, the idle limit of a kept connection passes and a request arrives on it. The loop then reads the request and passes it on; the completion of the timer is already queued without an error, cancelling the timer does not reach it, and it closes the connection. The same class of fault could refuse the head of a pipelined request as late (408) by the time limit of the request before it, and end the linger time of a connection early, which resets it and may lose a response in transit.

Change: base/timer, a one-shot timer whose callbacks never run after stop() or another start(). Connections of clients and of servers, requests, hosts, the accept retry and the exchanges of entry/ use it. Some of these were guarded by conditions of their own, which are gone. It works for every state, because the completion compares the number of its start with the last one.

--- a/control/host.cpp
+++ b/control/host.cpp
@@ -3,7 +3,6 @@
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <atomic>
@@ -14,6 +13,7 @@
 #include "base/error.h"
 #include "base/log.h"
 #include "base/settings.h"
+#include "base/timer.h"
 #include "control/api.h"
 #include "control/declarations.h"
 #include "control/join.h"
@@ -104,7 +104,7 @@
     const proto::Settings settings;
     asio::io_context loop;
     asio::executor_work_guard<asio::io_context::executor_type> workGuard{loop.get_executor()};
-    asio::steady_timer timer{loop};
+    Timer timer{loop.get_executor()};
     std::atomic<bool> syncTickPosted = false;
     RaftPeers peers;
     std::optional<Node> node;
@@ -158,12 +158,9 @@
 
 void ControlHost::Private::scheduleTick()
 {
-    timer.expires_after(tickInterval);
-    timer.async_wait([this](const asio::error_code &error) {
-        if (!error) {
-            tick();
-            scheduleTick();
-        }
+    timer.start(tickInterval, [this] {
+        tick();
+        scheduleTick();
     });
 }
 
--- a/entry/exchange.cpp
+++ b/entry/exchange.cpp
@@ -103,11 +103,10 @@
     asio::dispatch(m_strand, [self = shared_from_this()] { self->begin(); });
 }
 
-void Exchange::runAt(asio::steady_timer &timer, Time when, void (Exchange::*next)())
+void Exchange::runAt(Timer &timer, Time when, void (Exchange::*next)())
 {
-    timer.expires_at(when);
-    timer.async_wait([self = shared_from_this(), next](const asio::error_code &error) {
-        if (!error && !self->m_ended) {
+    timer.start(when, [self = shared_from_this(), next] {
+        if (!self->m_ended) {
             (self.get()->*next)();
         }
     });
@@ -461,7 +460,7 @@
     }
     ++m_attemptNumber; // later updates of this attempt are ignored
     m_transfer.reset();
-    m_recheckTimer.cancel();
+    m_recheckTimer.stop();
     releaseSlot(outcome);
 }
 
@@ -481,9 +480,9 @@
 {
     BL_INVARIANT(!m_ended && m_slotsTaken == m_slotsReleased, "in_flight_released_once");
     m_ended = true;
-    m_deadlineTimer.cancel();
-    m_recheckTimer.cancel();
-    m_retryTimer.cancel();
+    m_deadlineTimer.stop();
+    m_recheckTimer.stop();
+    m_retryTimer.stop();
     m_longBody.reset();
     settleClaim();
     returnUnusedTokens();
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "base/timer.h"
 #include "entry/path.h"
 #include "entry/refusal.h"
 
@@ -94,7 +95,7 @@
                            [self, next, value = std::move(value)]() mutable { (self.get()->*next)(std::move(value)); });
         };
     }
-    void runAt(asio::steady_timer &timer, Time when, void (Exchange::*next)());
+    void runAt(Timer &timer, Time when, void (Exchange::*next)());
 
     // Claim of the request id in the replicated log, so that a non-idempotent request runs at most once.
     enum class ClaimStep {
@@ -108,9 +109,9 @@
     Request m_request;
     ResponseWriter m_response;
     asio::strand<asio::io_context::executor_type> m_strand;
-    asio::steady_timer m_deadlineTimer;
-    asio::steady_timer m_recheckTimer;
-    asio::steady_timer m_retryTimer;
+    Timer m_deadlineTimer;
+    Timer m_recheckTimer;
+    Timer m_retryTimer;
     const Time m_arrivalTime;
     Time m_deadline;
 
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -38,7 +38,7 @@
     : m_state(state)
     , m_call(std::move(call))
     , m_routing(state.routing)
-    , m_timer(state.loop)
+    , m_timer(state.loop.get_executor())
 {
     ++m_state.inFlight;
 }
@@ -75,12 +75,7 @@
                                 [self = shared_from_this()](TokenGrant grant) { self->onTokenResult(grant); });
     const Duration tokenWait =
         std::clamp<Duration>(timeLeft(Clock::now()) / tokenWaitDivisor, minTokenWait, maxTokenWait);
-    m_timer.expires_after(tokenWait);
-    m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
-        if (!error) {
-            self->onTokenResult(TokenGrant::Unknown);
-        }
-    });
+    m_timer.start(tokenWait, [self = shared_from_this()] { self->onTokenResult(TokenGrant::Unknown); });
 }
 
 void ForwardedRequest::onTokenResult(TokenGrant grant)
@@ -104,12 +99,7 @@
 
 void ForwardedRequest::startAttempts()
 {
-    m_timer.expires_at(m_deadline + responseGracePeriod);
-    m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
-        if (!error) {
-            self->onTimeout();
-        }
-    });
+    m_timer.start(m_deadline + responseGracePeriod, [self = shared_from_this()] { self->onTimeout(); });
     tryNextServer();
 }
 
@@ -260,7 +250,7 @@
 void ForwardedRequest::finish(int status, const std::string &reason)
 {
     m_finished = true;
-    m_timer.cancel();
+    m_timer.stop();
     const Duration took = Clock::now() - m_call->request().receiveStart;
     const std::string route = m_route == nullptr ? "" : m_route->name();
     countMetric("banyanledge_gateway_requests_total", {{"route", route}, {"status", std::to_string(status)}});
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -1,13 +1,12 @@
 // Forwards one client request to a backend server: admission, attempts, retries and the response.
 #pragma once
 
-#include <asio/steady_timer.hpp>
-
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 
+#include "base/timer.h"
 #include "gateway/state.h"
 
 namespace banyanledge
@@ -87,7 +86,7 @@
     std::optional<std::set<std::string>> m_allowedRegions; // regions that may serve the request; nullopt: all
     std::uint64_t m_affinityHash = 0; // random for a request without affinity
     Time m_deadline{}; // earlier of the client's timeout and the route's
-    asio::steady_timer m_timer;
+    Timer m_timer;
     std::set<std::string> m_triedServers;
     unsigned m_attemptCount = 0; // attempts, including refused ones and failed connections
     unsigned m_possibleExecutions = 0; // attempts that a server executed or may have executed
--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -1,7 +1,6 @@
 #include "gateway/host.h"
 
 #include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <future>
 #include <mutex>
@@ -10,6 +9,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/settings.h"
+#include "base/timer.h"
 #include "fleet/controlclient.h"
 
 namespace banyanledge
@@ -92,7 +92,7 @@
     const Options options;
     asio::io_context loop{1};
     asio::executor_work_guard<asio::io_context::executor_type> workGuard{loop.get_executor()};
-    asio::steady_timer timer{loop};
+    Timer timer{loop.get_executor()};
     Gateway gateway;
     ControlClient controlClient;
     std::unique_ptr<HttpServer> clientServer;
@@ -134,12 +134,7 @@
         const std::lock_guard lock(reportMutex);
         lastReport = std::move(report);
     }
-    timer.expires_after(reportInterval);
-    timer.async_wait([this](const asio::error_code &error) {
-        if (!error) {
-            updateReport();
-        }
-    });
+    timer.start(reportInterval, [this] { updateReport(); });
 }
 
 bool GatewayHost::Private::listen()
--- a/gateway/upstream.cpp
+++ b/gateway/upstream.cpp
@@ -1,6 +1,5 @@
 #include "gateway/upstream.h"
 
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include <array>
@@ -9,6 +8,7 @@
 #include <map>
 
 #include "base/metrics.h"
+#include "base/timer.h"
 #include "net/address.h"
 
 namespace banyanledge
@@ -82,7 +82,7 @@
         : m_pool(std::move(pool))
         , m_server(std::move(server))
         , m_socket(m_pool->loop)
-        , m_timer(m_pool->loop)
+        , m_timer(m_pool->loop.get_executor())
     {
     }
 
@@ -90,11 +90,8 @@
     void connect(UpstreamRequest request, AttemptHandlers handlers)
     {
         prepare(std::move(request), std::move(handlers));
-        m_timer.expires_after(m_pool->options.connectTimeout);
-        m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
-            if (!error && !self->m_writeStarted) {
-                self->fail(AttemptResult::NotSent, "no connection within the connect timeout");
-            }
+        m_timer.start(m_pool->options.connectTimeout, [self = shared_from_this()] {
+            self->fail(AttemptResult::NotSent, "no connection within the connect timeout");
         });
         countMetric("banyanledge_upstream_connections_total");
         m_socket.async_connect(m_request.address, [self = shared_from_this()](const asio::error_code &error) {
@@ -105,7 +102,7 @@
                 self->fail(AttemptResult::NotSent, "connect: " + error.message());
                 return;
             }
-            self->m_timer.cancel();
+            self->m_timer.stop();
             setSocketOptions(self->m_socket, ackTimeout);
             self->write();
             self->read();
@@ -115,7 +112,7 @@
     // Sends the request on this idle connection, on which a read is already pending.
     void reuse(UpstreamRequest request, AttemptHandlers handlers)
     {
-        m_timer.cancel();
+        m_timer.stop();
         m_reused = true;
         prepare(std::move(request), std::move(handlers));
         write();
@@ -161,7 +158,7 @@
         m_closed = true;
         asio::error_code ignored; // the connection is dropped in any case
         m_socket.close(ignored);
-        m_timer.cancel();
+        m_timer.stop();
         m_inUse = false;
     }
 
@@ -323,12 +320,9 @@
             idleConnections.front()->close();
             idleConnections.pop_front();
         }
-        m_timer.expires_after(idleTimeout);
-        m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
-            if (!error && !self->m_inUse) {
-                self->close();
-                std::erase(self->m_pool->idleConnections[self->m_server], self);
-            }
+        m_timer.start(idleTimeout, [self = shared_from_this()] {
+            self->close();
+            std::erase(self->m_pool->idleConnections[self->m_server], self);
         });
     }
 
@@ -344,7 +338,7 @@
     std::shared_ptr<Upstream::Private> m_pool;
     const std::string m_server;
     tcp::socket m_socket;
-    asio::steady_timer m_timer;
+    Timer m_timer;
     UpstreamRequest m_request;
     AttemptHandlers m_handlers;
     HttpParser m_parser{HttpParser::Kind::Response};
--- a/net/connection.cpp
+++ b/net/connection.cpp
@@ -185,7 +185,7 @@
     const auto self = shared_from_this();
     asio::error_code ignored; // the connection is closed whether or not this fails
     m_socket.close(ignored);
-    m_timer.cancel();
+    m_timer.stop();
     m_owner->removeConnection(self);
     disconnectCalls(reason);
 }
@@ -286,7 +286,7 @@
     if (m_parser.complete()) {
         m_request.head = head;
         m_request.receiveEnd = Clock::now();
-        m_timer.cancel();
+        m_timer.stop();
         m_received = true;
         handleReceived();
     }
@@ -346,7 +346,7 @@
     if (m_owner->options().onRejected) {
         m_owner->options().onRejected(status);
     }
-    m_timer.cancel();
+    m_timer.stop();
     m_request.head.keepAlive = false;
     const auto call = addCall(std::exchange(m_request, {}));
     resetParser();
@@ -480,9 +480,8 @@
 
 void Connection::startTimer(Duration time, std::function<void()> expired)
 {
-    m_timer.expires_after(time);
-    m_timer.async_wait([self = shared_from_this(), expired = std::move(expired)](const asio::error_code &error) {
-        if (!error && !self->m_closed) {
+    m_timer.start(time, [self = shared_from_this(), expired = std::move(expired)] {
+        if (!self->m_closed) {
             expired();
         }
     });
--- a/net/connection.h
+++ b/net/connection.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <array>
 #include <deque>
@@ -11,6 +10,7 @@
 #include <optional>
 #include <string>
 
+#include "base/timer.h"
 #include "net/server.h"
 
 namespace banyanledge
@@ -110,7 +110,7 @@
 
     std::shared_ptr<ConnectionOwner> m_owner;
     asio::ip::tcp::socket m_socket;
-    asio::steady_timer m_timer;
+    Timer m_timer;
     HttpLimits m_limits;
     HttpParser m_parser{HttpParser::Kind::Request};
     std::array<char, 16384> m_readBuffer{};
--- a/net/server.cpp
+++ b/net/server.cpp
@@ -4,12 +4,12 @@
 #include <netinet/tcp.h>
 
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <set>
 
 #include "base/error.h"
 #include "base/log.h"
+#include "base/timer.h"
 #include "net/address.h"
 #include "net/connection.h"
 
@@ -35,7 +35,7 @@
     Private(asio::io_context &context, Options serverOptions)
         : loop(context)
         , acceptor(context)
-        , acceptRetryTimer(context)
+        , acceptRetryTimer(context.get_executor())
         , m_options(std::move(serverOptions))
     {
     }
@@ -60,7 +60,7 @@
 
     asio::io_context &loop;
     tcp::acceptor acceptor;
-    asio::steady_timer acceptRetryTimer;
+    Timer acceptRetryTimer;
     std::set<std::shared_ptr<Connection>> connections;
     bool closeAfterResponses = false;
     bool stopped = false;
@@ -105,8 +105,7 @@
         }
         if (error) {
             logWarning("accepting a connection failed; retrying", {{"reason", error.message()}});
-            self->acceptRetryTimer.expires_after(acceptRetryDelay);
-            self->acceptRetryTimer.async_wait([self](const asio::error_code &) { self->accept(); });
+            self->acceptRetryTimer.start(acceptRetryDelay, [self] { self->accept(); });
             return;
         }
         setSocketOptions(socket, clientAckTimeout);
--- a/tests/test_base.cpp
+++ b/tests/test_base.cpp
@@ -1,9 +1,13 @@
 // Tests of settings, digests, JSON strings, metrics and the crash handler.
 #include <catch2/catch.hpp>
 
+#include <asio/io_context.hpp>
+
 #include <csignal>
 #include <cstdlib>
+#include <string>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 #include "base/crash.h"
@@ -12,6 +16,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/settings.h"
+#include "base/timer.h"
 
 using namespace banyanledge;
 
@@ -138,3 +143,43 @@
           != std::string::npos);
     CHECK(text.back() == '\n');
 }
+
+// Guards against a callback that acts on the state that followed the one it was set for: the time had passed and asio
+// had queued the completion, which cancelling a steady_timer does not reach.
+TEST_CASE("a timer that was stopped or started again after its time had passed does not run the earlier callback")
+{
+    asio::io_context loop;
+    std::string ran;
+    std::function<void()> change;
+    Timer first(loop.get_executor());
+    Timer second(loop.get_executor());
+    // The completions of both timers are queued at once, so `second` is changed when its own is already queued.
+    first.start(milliseconds(1), [&] { change(); });
+    second.start(milliseconds(2), [&ran] { ran += "a"; });
+    SECTION("stopped")
+    {
+        change = [&] { second.stop(); };
+    }
+    SECTION("started again")
+    {
+        change = [&] { second.start(milliseconds(1), [&ran] { ran += "b"; }); };
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+    loop.run();
+    CHECK(ran.find('a') == std::string::npos);
+}
+
+TEST_CASE("a timer runs the callback of its last start, unless it ends before")
+{
+    asio::io_context loop;
+    std::string ran;
+    Timer timer(loop.get_executor());
+    timer.start(milliseconds(1), [&ran] { ran += "a"; });
+    timer.start(milliseconds(2), [&ran] { ran += "b"; });
+    {
+        Timer ended(loop.get_executor());
+        ended.start(milliseconds(1), [&ran] { ran += "c"; });
+    }
+    loop.run();
+    CHECK(ran == "b");
+}
--- a/tests/test_server.cpp
+++ b/tests/test_server.cpp
@@ -23,11 +23,12 @@
 class PipelineFixture
 {
 public:
-    PipelineFixture()
-        : m_client(m_loop)
+    explicit PipelineFixture(const HttpLimits &initialLimits = {})
+        : limits(initialLimits)
+        , m_client(m_loop)
     {
         HttpServer::Options options;
-        options.limits = [] { return HttpLimits(); };
+        options.limits = [this] { return limits; };
         options.handle = [this](const std::shared_ptr<HttpCall> &call) {
             const std::string path = call->request().head.target;
             m_arrivals.push_back(path);
@@ -106,11 +107,19 @@
         return received;
     }
 
+    // Runs the loop for a time.
+    void runFor(milliseconds time)
+    {
+        m_loop.run_for(time);
+        m_loop.restart();
+    }
+
     void closeClient()
     {
         m_client.close();
     }
 
+    HttpLimits limits;
     std::map<std::string, std::shared_ptr<HttpCall>> calls; // by path
     std::vector<std::string> disconnected; // paths
     std::unique_ptr<HttpServer> server;
@@ -243,3 +252,39 @@
     fixture.runUntil([&] { return fixture.disconnected.size() == 2; });
     CHECK(fixture.disconnected == std::vector<std::string>{"/a", "/b"});
 }
+
+// Guards against requests that were passed on and whose connection was closed without an answer: the process stood
+// still past the idle limit of a kept connection, and the completion of its timer was handled after the request was
+// read.
+TEST_CASE("a request that arrives while the process stands still past the idle limit is answered")
+{
+    HttpLimits limits;
+    limits.idleTimeout = milliseconds(50);
+    PipelineFixture fixture(limits);
+    fixture.runFor(milliseconds(10));
+    fixture.send(get("/a"));
+    std::this_thread::sleep_for(milliseconds(100));
+    fixture.expectArrivals({"/a"});
+    CHECK(fixture.disconnected.empty());
+    fixture.calls["/a"]->respond(200, {}, "first");
+    CHECK(fixture.receive("first") == ok("first"));
+}
+
+// Guards against the head of a request being refused as late, because the time limit of the request before it passed
+// while the process stood still.
+TEST_CASE("the time limit of one request's head does not end the next request")
+{
+    HttpLimits limits;
+    limits.headerTimeout = milliseconds(300);
+    PipelineFixture fixture(limits);
+    fixture.send("GET /a HTTP/1.1\r\n");
+    fixture.runFor(milliseconds(10));
+    fixture.send("Host: h\r\n\r\nGET /b HTTP/1.1\r\n");
+    std::this_thread::sleep_for(milliseconds(400));
+    fixture.expectArrivals({"/a"});
+    fixture.calls["/a"]->respond(200, {}, "first");
+    fixture.send("Host: h\r\n\r\n");
+    fixture.expectArrivals({"/a", "/b"});
+    fixture.calls["/b"]->respond(200, {}, "second");
+    CHECK(fixture.receive("second") == ok("first") + ok("second"));
+}
