Serve requests that have arrived when idle connections are closed

Callers whose request had arrived on a kept connection got a reset instead of an answer, when a host closed its idle connections at a planned stop or their idle limit passed at that moment: the request was not read yet, so the connection counted as idle.

A connection with bytes in its socket is not idle any more. The new case of test_server fails before (no request arrives) and passes now; the response then closes the connection as all others of a stopping host.

--- a/net/connection.cpp
+++ b/net/connection.cpp
@@ -173,7 +173,8 @@
 
 bool Connection::idle() const
 {
-    return m_calls.empty() && m_input.empty() && !m_requestStarted && !m_lingering;
+    asio::error_code error; // counts as no bytes; the pending read reports it
+    return m_calls.empty() && m_input.empty() && !m_requestStarted && !m_lingering && m_socket.available(error) == 0;
 }
 
 void Connection::close(CloseReason reason)
@@ -466,7 +467,11 @@
 
 void Connection::startIdleTimer()
 {
-    startTimer(m_limits.idleTimeout, [this] { close(CloseReason::IdleTimeout); });
+    startTimer(m_limits.idleTimeout, [this] {
+        if (idle()) {
+            close(CloseReason::IdleTimeout);
+        }
+    });
 }
 
 void Connection::startHeaderTimer()
--- a/net/connection.h
+++ b/net/connection.h
@@ -76,7 +76,7 @@
 
     void start();
 
-    // Whether no request is in progress or partly received.
+    // Whether no request is in progress, partly received or waiting in the socket.
     bool idle() const;
 
     void close(CloseReason reason);
--- a/tests/test_server.cpp
+++ b/tests/test_server.cpp
@@ -288,3 +288,20 @@
     fixture.calls["/b"]->respond(200, {}, "second");
     CHECK(fixture.receive("second") == ok("first") + ok("second"));
 }
+
+// Guards against requests that are cut off unread at a planned stop, because their connection was still counted as idle.
+TEST_CASE("a request that has arrived is answered when the server closes its idle connections")
+{
+    PipelineFixture fixture;
+    fixture.send(get("/a"));
+    fixture.expectArrivals({"/a"});
+    fixture.calls["/a"]->respond(200, {}, "first");
+    CHECK(fixture.receive("first") == ok("first"));
+    fixture.send(get("/b"));
+    fixture.server->closeAfterResponses();
+    fixture.server->closeIdleConnections();
+    fixture.expectArrivals({"/a", "/b"});
+    fixture.calls["/b"]->respond(200, {}, "second");
+    bool reset = false;
+    CHECK(fixture.receiveUntilClosed(reset) == ok("second", "Connection: close\r\n"));
+}
