Store blocked requests in the replicated table and show them to operators

Every host must learn of a blocked request within 3 s, also hosts that join, restart or were cut off, and whoever leads. So a blocked request is an object of the table, like an evacuation, and reaches the hosts with the next Sync answer. `banyanledge blocked list` and `banyanledge unblock ID` (GET and DELETE /v1/blocked) show and lift blocks; the audit trail names both. At most 1,000 are kept, which bounds the memory of every host. Test: test_table, blocked requests are stored, replicated, unblocked and limited in number.

--- a/apps/commands.cpp
+++ b/apps/commands.cpp
@@ -363,6 +363,16 @@
     return sendRead(invocation, "/v1/servers");
 }
 
+int blockedList(const Invocation &invocation)
+{
+    return sendRead(invocation, "/v1/blocked");
+}
+
+int unblock(const Invocation &invocation)
+{
+    return sendChange(invocation, "DELETE", "/v1/blocked/" + pathSegment(invocation.operands[0]), "");
+}
+
 int shiftStart(const Invocation &invocation)
 {
     std::map<std::string, std::string> fields;
@@ -530,6 +540,12 @@
         {{"drain"}, {"SERVER"}, {}, "send no new requests to a backend server", drain},
         {{"undrain"}, {"SERVER"}, {}, "send requests to a drained backend server again", undrain},
         {{"server", "list"}, {}, {}, "list the backend servers", serverList},
+        {{"blocked", "list"},
+         {},
+         {},
+         "list the requests that are not sent to servers, as they crash them",
+         blockedList},
+        {{"unblock"}, {"ID"}, {}, "send a blocked request to backend servers again", unblock},
         {{"shift", "start"},
          {"SERVICE", "FROM", "TO"},
          {"cap", "cap-per-second", "id"},
--- a/control/api.cpp
+++ b/control/api.cpp
@@ -74,7 +74,8 @@
     }
     if (allowedMethods.empty()) {
         return errorResponse(404, {proto::ERROR_NOT_FOUND, "this path does not exist"},
-                             "use a path under /v1/customers, keys, rows, servers, shifts, status, audit or members");
+                             "use a path under /v1/customers, keys, rows, servers, blocked, shifts, status, audit or "
+                             "members");
     }
     ApiResponse response = errorResponse(405, {proto::ERROR_INVALID, "this path does not support this method"},
                                          "use one of " + allowedMethods);
--- a/control/routes.cpp
+++ b/control/routes.cpp
@@ -257,6 +257,20 @@
     return setDrained(context, false);
 }
 
+ApiResponse listBlockedRequests(const ApiContext &context)
+{
+    return selectFromTable(context, [](proto::TableContent &content, proto::TableContent &selected) {
+        selected.mutable_blocked_requests()->Swap(content.mutable_blocked_requests());
+    });
+}
+
+ApiResponse unblockRequest(const ApiContext &context)
+{
+    proto::Command command = newCommand(context);
+    command.mutable_unblock_request()->set_id(context.pathParameters[0]);
+    return propose(context, command);
+}
+
 ApiResponse listShifts(const ApiContext &context)
 {
     return selectFromTable(context, [](proto::TableContent &content, proto::TableContent &selected) {
@@ -413,6 +427,8 @@
         {"GET", {"v1", "servers"}, listServers},
         {"POST", {"v1", "servers", "*", "drain"}, drainServer},
         {"POST", {"v1", "servers", "*", "undrain"}, undrainServer},
+        {"GET", {"v1", "blocked"}, listBlockedRequests},
+        {"DELETE", {"v1", "blocked", "*"}, unblockRequest},
         {"GET", {"v1", "shifts"}, listShifts},
         {"POST", {"v1", "shifts"}, startShift},
         {"POST", {"v1", "shifts", "*", "cancel"}, cancelShift},
--- a/control/tableobjects.cpp
+++ b/control/tableobjects.cpp
@@ -12,6 +12,7 @@
 {
     return content.customers_size() + content.keys_size() + content.rows_size() + content.servers_size()
             + content.shifts_size() + content.members_size() + content.tombstones_size() + content.evacuations_size()
+            + content.blocked_requests_size()
         > 0
         || content.has_declaration();
 }
@@ -34,6 +35,7 @@
         objects.members.clear();
         objects.servers.clear();
         objects.shifts.clear();
+        objects.blockedRequests.clear();
     }
     objects.revision = content.revision();
     if (snapshot || hasObjects(content)) {
@@ -48,6 +50,9 @@
     for (const auto &shift : content.shifts()) {
         objects.shifts[shift.id()] = shift;
     }
+    for (const auto &request : content.blocked_requests()) {
+        objects.blockedRequests[request.id()] = request;
+    }
     if (content.has_declaration()) {
         objects.declaration = content.declaration();
         objects.declaration.clear_original();
@@ -57,6 +62,8 @@
             applyTombstone(objects.servers, tombstone);
         } else if (tombstone.kind() == "member") {
             applyTombstone(objects.members, tombstone);
+        } else if (tombstone.kind() == "blocked") {
+            applyTombstone(objects.blockedRequests, tombstone);
         }
     }
 }
--- a/control/tableobjects.h
+++ b/control/tableobjects.h
@@ -16,10 +16,11 @@
     std::map<std::string, proto::Member> members;
     std::map<std::string, proto::Server> servers;
     std::map<std::string, proto::Shift> shifts;
+    std::map<std::string, proto::BlockedRequest> blockedRequests; // by id
     proto::Declaration declaration; // in force; version 0: none
 };
 
-// Applies a delta, or replaces the members, servers and shifts when `content` is a snapshot.
+// Applies a delta, or replaces all objects but the declaration when `content` is a snapshot.
 void applyContent(TableObjects &objects, const proto::TableContent &content, bool snapshot);
 
 // Returns an empty command with the actor "system" and a new change id.
--- a/decide/view.cpp
+++ b/decide/view.cpp
@@ -77,6 +77,8 @@
     m_evacuations = merged<proto::Evacuation>(
         m_evacuations, content.evacuations(), [](const auto &object) { return object.availability_zone(); }, content,
         "evacuation");
+    m_blockedRequests =
+        merged<proto::BlockedRequest>(m_blockedRequests, content.blocked_requests(), byId, content, "blocked");
     if (content.has_declaration()) {
         m_declaration = std::make_shared<const proto::Declaration>(content.declaration());
     }
@@ -218,6 +220,11 @@
     return *m_evacuations;
 }
 
+const std::map<std::string, proto::BlockedRequest> &View::blockedRequests() const
+{
+    return *m_blockedRequests;
+}
+
 const std::map<std::string, proto::Member> &View::members() const
 {
     return *m_members;
--- a/decide/view.h
+++ b/decide/view.h
@@ -68,6 +68,7 @@
     const std::map<std::string, proto::Member> &members() const;
     const proto::Declaration &declaration() const; // version 0 if none is known
     const std::map<std::string, proto::Evacuation> &evacuations() const; // by availability zone
+    const std::map<std::string, proto::BlockedRequest> &blockedRequests() const; // by id
 
 private:
     template<typename Object>
@@ -99,6 +100,7 @@
     Shared<proto::Shift> m_shifts = std::make_shared<const Objects<proto::Shift>>();
     Shared<proto::Member> m_members = std::make_shared<const Objects<proto::Member>>();
     Shared<proto::Evacuation> m_evacuations = std::make_shared<const Objects<proto::Evacuation>>();
+    Shared<proto::BlockedRequest> m_blockedRequests = std::make_shared<const Objects<proto::BlockedRequest>>();
     std::shared_ptr<const proto::Declaration> m_declaration = std::make_shared<const proto::Declaration>();
     std::shared_ptr<const std::map<std::string, std::string>> m_keyIdByDigest =
         std::make_shared<const std::map<std::string, std::string>>();
--- a/ledger/table.cpp
+++ b/ledger/table.cpp
@@ -397,6 +397,35 @@
     return {};
 }
 
+proto::CommandResult Table::applyChange(const proto::BlockRequest &change)
+{
+    const proto::BlockedRequest &request = change.request();
+    const auto found = m_blockedRequests.find(request.id());
+    if (found != m_blockedRequests.end() && equalExceptRevision(request, found->second)) {
+        return {};
+    }
+    if (found == m_blockedRequests.end() && m_blockedRequests.size() >= maxBlockedRequests) {
+        return errorResult(proto::ERROR_INVALID,
+                           std::to_string(maxBlockedRequests) + " requests are blocked already; unblock one of them");
+    }
+    const auto removed = m_tombstones.find("blocked:" + request.id());
+    if (removed != m_tombstones.end()) {
+        m_byRevision.erase(removed->second.revision());
+        m_tombstones.erase(removed);
+    }
+    put(m_blockedRequests, Kind::BlockedRequest, request.id(), request);
+    return {};
+}
+
+proto::CommandResult Table::applyChange(const proto::UnblockRequest &change)
+{
+    if (!m_blockedRequests.contains(change.id())) {
+        return notFound("blocked request", change.id());
+    }
+    remove(m_blockedRequests, "blocked", change.id(), 0);
+    return {};
+}
+
 // A retry of the command that made the claim succeeds again. Any other command, even from the same host, is another
 // attempt to run the request and is rejected.
 proto::CommandResult Table::applyChange(const proto::ClaimRequest &change, const std::string &changeId)
@@ -507,6 +536,11 @@
     return m_evacuations;
 }
 
+const std::map<std::string, proto::BlockedRequest> &Table::blockedRequests() const
+{
+    return m_blockedRequests;
+}
+
 Revision Table::revision() const
 {
     return m_revision;
--- a/ledger/table.h
+++ b/ledger/table.h
@@ -24,6 +24,9 @@
 // Number of tombstones retained for deltas. A host that missed more removals receives the whole table.
 constexpr std::size_t maxTombstones = 10000;
 
+// Largest number of blocked requests, which bounds the memory of every host.
+constexpr std::size_t maxBlockedRequests = 1000;
+
 // Number of audit records retained: about a month at the 2,800 changes per day of section 1.7 of the design.
 constexpr std::size_t maxAuditRecords = 100000;
 
@@ -69,9 +72,10 @@
     const std::map<std::string, proto::Member> &members() const;
     const proto::Declaration &declaration() const; // version 0 before the first one
     const std::map<std::string, proto::Evacuation> &evacuations() const; // by availability zone
+    const std::map<std::string, proto::BlockedRequest> &blockedRequests() const; // by id
 
 private:
-    enum class Kind { Customer, Key, Row, Server, Shift, Member, Declaration, Evacuation, Tombstone };
+    enum class Kind { Customer, Key, Row, Server, Shift, Member, Declaration, Evacuation, BlockedRequest, Tombstone };
 
     // Kind and key of an object. The key of a tombstone is "kind:key".
     struct ObjectRef
@@ -103,6 +107,8 @@
     proto::CommandResult applyChange(const proto::RemoveMember &change);
     proto::CommandResult applyChange(const proto::PutDeclaration &change);
     proto::CommandResult applyChange(const proto::SetEvacuation &change);
+    proto::CommandResult applyChange(const proto::BlockRequest &change);
+    proto::CommandResult applyChange(const proto::UnblockRequest &change);
     proto::CommandResult applyChange(const proto::ClaimRequest &change, const std::string &changeId);
     proto::CommandResult applyChange(const proto::CompleteClaim &change);
     proto::CommandResult applyChange(const proto::ReleaseClaim &change);
@@ -140,6 +146,7 @@
     std::map<std::string, proto::Member> m_members;
     std::map<std::string, proto::Declaration> m_declaration; // at most one, with an empty key
     std::map<std::string, proto::Evacuation> m_evacuations;
+    std::map<std::string, proto::BlockedRequest> m_blockedRequests;
     std::map<std::string, proto::Tombstone> m_tombstones;
     std::map<std::string, std::string> m_keyIdByDigest;
     std::map<Revision, ObjectRef> m_byRevision; // each object at the revision of its last change
--- a/ledger/tablecontent.cpp
+++ b/ledger/tablecontent.cpp
@@ -81,6 +81,10 @@
         return {Kind::Declaration, {}};
     case proto::Command::kSetEvacuation:
         return {Kind::Evacuation, command.set_evacuation().availability_zone()};
+    case proto::Command::kBlockRequest:
+        return {Kind::BlockedRequest, command.block_request().request().id()};
+    case proto::Command::kUnblockRequest:
+        return {Kind::BlockedRequest, command.unblock_request().id()};
     default:
         return {};
     }
@@ -121,6 +125,10 @@
         return applyChange(command.put_declaration());
     case proto::Command::kSetEvacuation:
         return applyChange(command.set_evacuation());
+    case proto::Command::kBlockRequest:
+        return applyChange(command.block_request());
+    case proto::Command::kUnblockRequest:
+        return applyChange(command.unblock_request());
     case proto::Command::kClaim:
         return applyChange(command.claim(), command.change_id());
     case proto::Command::kCompleteClaim:
@@ -206,6 +214,8 @@
         return "{\"version\":" + std::to_string(declaration().version()) + "}";
     case Kind::Evacuation:
         return toJson(m_evacuations, target.key);
+    case Kind::BlockedRequest:
+        return toJson(m_blockedRequests, target.key);
     case Kind::Tombstone:
         break;
     }
@@ -239,6 +249,9 @@
     case Kind::Evacuation:
         *content.add_evacuations() = m_evacuations.at(target.key);
         break;
+    case Kind::BlockedRequest:
+        *content.add_blocked_requests() = m_blockedRequests.at(target.key);
+        break;
     case Kind::Tombstone:
         *content.add_tombstones() = m_tombstones.at(target.key);
         break;
@@ -256,6 +269,7 @@
     addAll(m_shifts, content.mutable_shifts());
     addAll(m_members, content.mutable_members());
     addAll(m_evacuations, content.mutable_evacuations());
+    addAll(m_blockedRequests, content.mutable_blocked_requests());
     if (!m_declaration.empty()) {
         *content.mutable_declaration() = declaration();
     }
@@ -336,6 +350,9 @@
     for (const auto &evacuation : content.evacuations()) {
         m_evacuations.emplace_hint(m_evacuations.end(), evacuation.availability_zone(), evacuation);
     }
+    for (const auto &request : content.blocked_requests()) {
+        m_blockedRequests.emplace_hint(m_blockedRequests.end(), request.id(), request);
+    }
     if (content.has_declaration()) {
         m_declaration.emplace(std::string(), content.declaration());
     }
@@ -350,6 +367,7 @@
     indexByRevision(m_members, Kind::Member);
     indexByRevision(m_declaration, Kind::Declaration);
     indexByRevision(m_evacuations, Kind::Evacuation);
+    indexByRevision(m_blockedRequests, Kind::BlockedRequest);
     indexByRevision(m_tombstones, Kind::Tombstone);
     m_contentRevision = m_byRevision.empty() ? 0 : m_byRevision.rbegin()->first;
     for (const auto &claim : image.claims()) {
--- a/ledger/validation.cpp
+++ b/ledger/validation.cpp
@@ -261,6 +261,10 @@
         return check(command.put_declaration());
     case proto::Command::kSetEvacuation:
         return checkName("availability zone", command.set_evacuation().availability_zone());
+    case proto::Command::kBlockRequest:
+        return checkName("id of the blocked request", command.block_request().request().id());
+    case proto::Command::kUnblockRequest:
+        return checkName("id of the blocked request", command.unblock_request().id());
     case proto::Command::kClaim:
         return checkClaim(command.claim());
     case proto::Command::kCompleteClaim:
--- a/tests/test_table.cpp
+++ b/tests/test_table.cpp
@@ -467,3 +467,38 @@
     CHECK(view->declaration().version() == 9);
     CHECK(view->evacuations().at("z").active());
 }
+
+// Guards against a block that is lost with a control host or by a host that missed its change.
+TEST_CASE("blocked requests are stored, replicated, unblocked and limited in number")
+{
+    TestLog log;
+    const auto block = [&](const std::string &id, int trials = 0) {
+        return log(parse("block_request { request { id: '" + id + "' route: 'r' path: '/p' crashes: 3 trials: "
+                         + std::to_string(trials) + " } }"));
+    };
+    CHECK(block("a").kind() == proto::ERROR_NONE);
+    CHECK(block("").kind() == proto::ERROR_INVALID);
+    bool snapshot = false;
+    const auto first = View::next(View(), log.table.contentSince(0, &snapshot), true);
+    CHECK(first->blockedRequests().at("a").crashes() == 3);
+    CHECK(block("a", 1).kind() == proto::ERROR_NONE);
+    const auto second = View::next(*first, log.table.contentSince(first->revision(), &snapshot), snapshot);
+    CHECK(second->blockedRequests().at("a").trials() == 1);
+    Table restored;
+    restored.restore(log.table.image());
+    CHECK(restored.blockedRequests().size() == 1);
+    CHECK(restored.image().SerializeAsString() == log.table.image().SerializeAsString());
+    CHECK(log(parse("unblock_request { id: 'a' }")).kind() == proto::ERROR_NONE);
+    CHECK(log(parse("unblock_request { id: 'a' }")).kind() == proto::ERROR_NOT_FOUND);
+    const auto third = View::next(*second, log.table.contentSince(second->revision(), &snapshot), snapshot);
+    CHECK(third->blockedRequests().empty());
+    CHECK(block("a").kind() == proto::ERROR_NONE);
+    const auto fourth = View::next(*third, log.table.contentSince(third->revision(), &snapshot), snapshot);
+    CHECK(fourth->blockedRequests().size() == 1);
+    for (std::size_t i = 1; i < maxBlockedRequests; ++i) {
+        CHECK(block("b" + std::to_string(i)).kind() == proto::ERROR_NONE);
+    }
+    CHECK(block("one-too-many").kind() == proto::ERROR_INVALID);
+    CHECK(block("a", 2).kind() == proto::ERROR_NONE);
+    CHECK(log.table.blockedRequests().size() == maxBlockedRequests);
+}
