Block requests that crash the backend servers that run them

Cause: attempts of one client request were limited, those of the same content under other ids were not connected with each other.

Change: when a server ends a connection during a request, the host checks whether the server refuses new connections, and records a crash if it does. Sync calls carry this evidence to the leader, which blocks a request after three crashes one after the other that no other request explains, 700 ms after the third. A blocked request gets 502 at once, before it takes a token and before each further attempt. A host without contact to the leader decides by what it saw itself. After 5 min, and ever more rarely, one host may send it once; a success unblocks it.

Tests: test_crashes (evidence, leader and gateways together, a change of the leader, trials, bounds), test_blocking (a gateway between a client and servers that crash). Two cases of test_gateway counted all connections to a server; they now count those that carried a request, as strictly as before, and the one that checks the server besides.

--- a/control/leadertasks.cpp
+++ b/control/leadertasks.cpp
@@ -37,6 +37,9 @@
         m_platformPollState = {};
         m_shiftStepTimes = {};
     }
+    if (m_sync.leading() && m_pendingBlockCommands == 0) {
+        propose(m_sync.requestBlocks().commands(m_sync.objects(), wallClockMs(), now), m_pendingBlockCommands);
+    }
     if (!m_sync.leading() || now < m_nextShiftDecision || m_pendingShiftCommands > 0) {
         return;
     }
@@ -55,6 +58,7 @@
     setMetric("banyanledge_control_leads", {}, m_sync.leading() ? 1 : 0);
     setMetric("banyanledge_applied_revision", {}, static_cast<double>(m_sync.objects().revision));
     setMetric("banyanledge_control_term", {}, static_cast<double>(m_sync.status().term()));
+    setMetric("banyanledge_blocked_requests", {}, static_cast<double>(m_sync.objects().blockedRequests.size()));
     std::map<std::string, double> members{
         {"MEMBER_JOINING", 0}, {"MEMBER_LIVE", 0}, {"MEMBER_LEAVING", 0}, {"MEMBER_GONE", 0}};
     for (const auto &[id, member] : m_sync.objects().members) {
--- a/control/leadertasks.h
+++ b/control/leadertasks.h
@@ -52,6 +52,7 @@
     // Numbers of proposed commands without a known outcome. New ones of the same kind are decided on only at 0.
     unsigned m_pendingPlatformCommands = 0;
     unsigned m_pendingShiftCommands = 0;
+    unsigned m_pendingBlockCommands = 0;
 };
 
 } // namespace banyanledge
--- a/control/sync.h
+++ b/control/sync.h
@@ -12,6 +12,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "control/blocks.h"
 #include "control/loads.h"
 #include "control/members.h"
 #include "control/serverloads.h"
@@ -54,6 +55,7 @@
     const TableObjects &objects() const;
     const Liveness &liveness() const;
     FleetLoads &loads();
+    RequestBlocks &requestBlocks();
 
     // Proposes a command from systemCommand() and logs a refusal. `done` is called with the result on the event loop.
     void proposeSystem(proto::Command command, const std::function<void(const proto::CommandResult &)> &done = {});
@@ -98,6 +100,7 @@
     const RateTolerance m_rateTolerance;
     RateShareAllocator m_rateShares;
     ServerLoads m_serverLoads;
+    RequestBlocks m_requestBlocks;
     std::map<Revision, std::string> m_contentParts; // common parts by known revision, for one table revision
     Revision m_contentRevision = 0;
     std::string m_fleetStatePart; // common part for all hosts
--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -71,6 +71,10 @@
 void ForwardedRequest::tryNextServer()
 {
     const Time now = Clock::now();
+    if (!mayBeSent(now)) {
+        rejectBlocked();
+        return;
+    }
     // Uses the latest list of servers, not the one at the request's arrival: the request may have waited for a token or
     // an earlier attempt, and a server that is leaving must get no new requests.
     m_attemptRouting = m_state.routing;
@@ -237,7 +241,10 @@
         return;
     }
     ++m_possibleExecutions;
-    if (result == AttemptResult::NoResponse) {
+    if (result == AttemptResult::ConnectionEnded) {
+        checkForCrash(attempt, now);
+    }
+    if (result != AttemptResult::Completed) {
         if (attempt.upstreamAttempt->reused() && attempt.head.status == 0) {
             m_state.reuseRestrictedUntil = now + reuseRestrictionTime;
         }
@@ -265,6 +272,9 @@
         return;
     }
     recordSuccess(attempt.target, now);
+    if (m_state.blocker.knowsTarget(m_call->request().head.target)) {
+        m_state.blocker.recordSuccess(fingerprint(), now);
+    }
     if (m_streaming) {
         m_call->write(std::move(attempt.body));
         m_call->end();
--- /dev/null
+++ b/gateway/blocker.cpp
@@ -0,0 +1,220 @@
+#include "gateway/blocker.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
+#include "decide/fingerprint.h"
+
+namespace banyanledge
+{
+
+namespace
+{
+
+// Requests of which one host keeps evidence.
+constexpr std::size_t maxSuspects = 256;
+
+// Requests in one report: those with the strongest evidence, those with the newest, and others at random, so that a new
+// leader hears of all of them after some reports.
+constexpr std::size_t maxStrongestReported = 4;
+constexpr std::size_t maxNewestReported = 4;
+constexpr std::size_t maxOthersReported = 2;
+
+// Time since the last reply of the leader after which this host decides by itself.
+constexpr milliseconds contactTimeout{1500};
+
+// Blocked requests whose refusal is reported at a time.
+constexpr std::size_t maxRefusalsReported = 8;
+
+// Time for which the refusal of a blocked request is reported.
+constexpr milliseconds refusalLifetime{5000};
+
+using SuspectEntry = std::pair<const std::string, Suspect>;
+
+std::uint32_t ageMs(Time time, Time now)
+{
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(now - time).count());
+}
+
+void addSuspect(proto::SyncRequest &request, const SuspectEntry &entry, Time now)
+{
+    const auto &[fingerprint, suspect] = entry;
+    auto *report = request.add_suspects();
+    report->set_id(fingerprint);
+    report->set_route(suspect.description.route);
+    report->set_customer(suspect.description.customer);
+    report->set_method(suspect.description.method);
+    report->set_path(suspect.description.path);
+    for (const RequestCrash &crash : suspect.crashes) {
+        auto *reported = report->add_crashes();
+        reported->set_id(crash.reports.front());
+        reported->set_server(crash.server);
+        reported->set_started_age_ms(ageMs(crash.started, now));
+        reported->set_ended_age_ms(ageMs(crash.ended, now));
+    }
+    if (suspect.succeeded != Time{}) {
+        report->set_succeeded_age_ms(ageMs(suspect.succeeded, now));
+    }
+}
+
+bool isStronger(const SuspectEntry *a, const SuspectEntry *b)
+{
+    return crashesInSequence(a->second.crashes) > crashesInSequence(b->second.crashes);
+}
+
+bool isNewer(const SuspectEntry *a, const SuspectEntry *b)
+{
+    return a->second.changed > b->second.changed;
+}
+
+} // namespace
+
+RequestBlocker::RequestBlocker(std::string host)
+    : m_host(std::move(host))
+    , m_evidence(maxSuspects)
+    , m_random(static_cast<std::mt19937::result_type>(randomId()))
+{
+}
+
+void RequestBlocker::setView(const View &view)
+{
+    for (const auto &[fingerprint, request] : m_blocked) {
+        if (!view.blockedRequests().contains(fingerprint)) {
+            logInfo("request is no longer blocked",
+                    {{"fingerprint", fingerprint}, {"revision", std::to_string(view.revision())}});
+            m_evidence.remove(fingerprint);
+            m_usedTrials.erase(fingerprint);
+        }
+    }
+    for (const auto &[fingerprint, request] : view.blockedRequests()) {
+        if (!m_blocked.contains(fingerprint)) {
+            logInfo("request is blocked, because backend servers crashed while they ran it",
+                    {{"fingerprint", fingerprint},
+                     {"route", request.route()},
+                     {"customer", request.customer()},
+                     {"path", request.path()},
+                     {"revision", std::to_string(view.revision())}});
+        }
+    }
+    m_blocked = view.blockedRequests();
+    updatePrefixes();
+}
+
+void RequestBlocker::setSuspects(std::set<std::string> fingerprints, Time now)
+{
+    m_lastReply = now;
+    if (fingerprints != m_suspects) {
+        m_suspects = std::move(fingerprints);
+        updatePrefixes();
+    }
+}
+
+bool RequestBlocker::knowsTarget(std::string_view target) const
+{
+    return !m_prefixes.empty() && m_prefixes.contains(fingerprintPrefix(target));
+}
+
+bool RequestBlocker::hasTrial(const proto::BlockedRequest &request) const
+{
+    if (request.trial_host() != m_host) {
+        return false;
+    }
+    const auto used = m_usedTrials.find(request.id());
+    return used == m_usedTrials.end() || used->second < request.trials();
+}
+
+// The leader decides, because it knows what was running at all hosts. A host without contact to it decides by what it
+// saw itself.
+bool RequestBlocker::isBlocked(const std::string &fingerprint, Time now) const
+{
+    const auto blocked = m_blocked.find(fingerprint);
+    if (blocked != m_blocked.end()) {
+        return !hasTrial(blocked->second);
+    }
+    if (now < m_lastReply + contactTimeout) {
+        return false;
+    }
+    const auto culprits = m_evidence.culprits({}, now);
+    return std::find(culprits.begin(), culprits.end(), fingerprint) != culprits.end();
+}
+
+bool RequestBlocker::admit(const std::string &fingerprint, Time now)
+{
+    if (isBlocked(fingerprint, now)) {
+        recordRefusal(fingerprint, now);
+        return false;
+    }
+    const auto blocked = m_blocked.find(fingerprint);
+    if (blocked != m_blocked.end()) {
+        m_usedTrials[fingerprint] = blocked->second.trials();
+        logInfo("blocked request is tried once",
+                {{"fingerprint", fingerprint}, {"trial", std::to_string(blocked->second.trials())}});
+    }
+    return true;
+}
+
+void RequestBlocker::recordCrash(const std::string &fingerprint, const RequestDescription &description,
+                                 const RequestCrash &crash, Time now)
+{
+    m_evidence.recordCrash(fingerprint, description, crash, now);
+    updatePrefixes();
+}
+
+void RequestBlocker::recordSuccess(const std::string &fingerprint, Time now)
+{
+    const bool isKnown = m_evidence.suspects().contains(fingerprint) || m_suspects.contains(fingerprint)
+        || m_blocked.contains(fingerprint);
+    if (isKnown) {
+        m_evidence.recordSuccess(fingerprint, now, now);
+    }
+}
+
+void RequestBlocker::recordRefusal(const std::string &fingerprint, Time now)
+{
+    m_refusals[fingerprint] = now;
+}
+
+void RequestBlocker::updatePrefixes()
+{
+    m_prefixes.clear();
+    for (const auto &[fingerprint, suspect] : m_evidence.suspects()) {
+        m_prefixes.emplace(prefixOf(fingerprint));
+    }
+    for (const auto &[fingerprint, request] : m_blocked) {
+        m_prefixes.emplace(prefixOf(fingerprint));
+    }
+    for (const std::string &fingerprint : m_suspects) {
+        m_prefixes.emplace(prefixOf(fingerprint));
+    }
+}
+
+void RequestBlocker::addReport(proto::SyncRequest &request, Time now)
+{
+    std::erase_if(m_refusals, [now](const auto &entry) { return now >= entry.second + refusalLifetime; });
+    for (const auto &[fingerprint, time] : m_refusals) {
+        if (static_cast<std::size_t>(request.refused_blocked_size()) < maxRefusalsReported) {
+            request.add_refused_blocked(fingerprint);
+        }
+    }
+    m_evidence.removeExpired(now);
+    std::vector<const SuspectEntry *> entries;
+    for (const SuspectEntry &entry : m_evidence.suspects()) {
+        // Of a blocked request only a success matters.
+        if (!m_blocked.contains(entry.first) || entry.second.crashes.empty()) {
+            entries.push_back(&entry);
+        }
+    }
+    const auto newest = entries.begin() + static_cast<std::ptrdiff_t>(std::min(entries.size(), maxStrongestReported));
+    std::partial_sort(entries.begin(), newest, entries.end(), isStronger);
+    const auto others = newest + std::min<std::ptrdiff_t>(entries.end() - newest, maxNewestReported);
+    std::partial_sort(newest, others, entries.end(), isNewer);
+    std::shuffle(others, entries.end(), m_random);
+    entries.resize(std::min(entries.size(), maxStrongestReported + maxNewestReported + maxOthersReported));
+    for (const SuspectEntry *entry : entries) {
+        addSuspect(request, *entry, now);
+    }
+}
+
+} // namespace banyanledge
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -140,6 +140,10 @@
         reject(503, "no service of the route accepts requests", retryAfterNotReady);
         return false;
     }
+    if (isBlocked(now)) {
+        rejectBlocked();
+        return false;
+    }
     m_serviceState = &m_state.services[m_serviceName];
     m_serviceState->retries.recordRequest(m_state.retryBudgetConfig(), now);
     restrictRegions();
@@ -239,7 +243,7 @@
     if (retryAfter > Duration(0)) {
         headers.emplace_back("Retry-After", secondsText(retryAfter));
     }
-    if (m_tokenTaken && (status == 503 || status == 429)) {
+    if (m_tokenTaken && (status == 503 || status == 429 || m_attemptCount == 0)) {
         m_state.buckets[m_customer->name()].refund();
     }
     m_call->respond(status, headers, reason + "\n");
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -60,6 +60,11 @@
     void onAttemptEnd(AttemptResult result, const std::string &reason);
     void startStreaming();
     void forwardBody();
+    const std::string &fingerprint();
+    bool isBlocked(Time now);
+    bool mayBeSent(Time now);
+    void rejectBlocked();
+    void checkForCrash(const Attempt &attempt, Time now);
     void recordFailure(const Target &target, const std::string &reason, Time now);
     void recordSuccess(const Target &target, Time now);
     bool mayRetry(bool mayHaveRun) const;
@@ -83,6 +88,7 @@
     ServiceState *m_serviceState = nullptr;
     std::string m_serviceName;
     std::string m_requestId;
+    std::string m_fingerprint; // empty until it is needed
     std::optional<std::set<std::string>> m_allowedRegions; // regions that may serve the request; nullopt: all
     std::uint64_t m_affinityHash = 0; // random for a request without affinity
     Time m_deadline{}; // earlier of the client's timeout and the route's
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -54,6 +54,7 @@
     }
     d->updateFleetLoads(request, reply, now);
     d->meanRegionRequestRate = reply.region_request_rate();
+    d->blocker.setSuspects({reply.suspects().begin(), reply.suspects().end()}, now);
 }
 
 void Gateway::report(proto::SyncRequest &request) const
@@ -69,6 +70,7 @@
         customerRate->set_demand(bucket.demand(now));
         customerRate->set_held(bucket.share());
     }
+    d->blocker.addReport(request, now);
     for (const auto &[id, state] : d->servers) {
         if (state.inFlight > 0) {
             auto *load = request.add_servers();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -36,12 +36,13 @@
     // Applies a new copy of the replicated table.
     void setView(const std::shared_ptr<const View> &view);
 
-    // Applies the reply to a Sync call: this host's shares of the customers' rates, the loads of backend servers and
-    // the mean request rate of the region. `request` is the call that was answered.
+    // Applies the reply to a Sync call: this host's shares of the customers' rates, the loads of backend servers, the
+    // mean request rate of the region and the requests that are suspected of crashing servers. `request` is the call
+    // that was answered.
     void applySyncReply(const proto::SyncRequest &request, const proto::SyncReply &reply);
 
-    // Adds this host's request rate, the demand and share of each customer and the requests in flight at each backend
-    // server to a Sync call.
+    // Adds this host's request rate, the demand and share of each customer, the requests in flight at each backend
+    // server and the requests that were running when servers crashed to a Sync call.
     void report(proto::SyncRequest &request) const;
 
     // Forwards one client request; the response is sent through `call`.
--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -48,6 +48,21 @@
     return self;
 }
 
+// Adds the time that a report has waited to the ages in it.
+void addAge(proto::SyncRequest &request, Duration waited)
+{
+    const auto waitedMs = static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(waited).count());
+    for (auto &suspect : *request.mutable_suspects()) {
+        if (suspect.has_succeeded_age_ms()) {
+            suspect.set_succeeded_age_ms(suspect.succeeded_age_ms() + waitedMs);
+        }
+        for (auto &crash : *suspect.mutable_crashes()) {
+            crash.set_started_age_ms(crash.started_age_ms() + waitedMs);
+            crash.set_ended_age_ms(crash.ended_age_ms() + waitedMs);
+        }
+    }
+}
+
 } // namespace
 
 class GatewayHost::Private
@@ -100,6 +115,7 @@
     std::unique_ptr<HttpServer> lookupServer;
     std::mutex reportMutex;
     proto::SyncRequest lastReport; // guarded by reportMutex
+    Time lastReportAt{}; // guarded by reportMutex
     bool leaving = false; // used on the loop only
     bool wasReady = false;
     std::thread thread;
@@ -117,6 +133,9 @@
     *request.mutable_servers() = lastReport.servers();
     request.set_host_load(lastReport.host_load());
     request.set_request_rate(lastReport.request_rate());
+    *request.mutable_suspects() = lastReport.suspects();
+    addAge(request, Clock::now() - lastReportAt);
+    *request.mutable_refused_blocked() = lastReport.refused_blocked();
 }
 
 void GatewayHost::Private::updateReport()
@@ -133,6 +152,7 @@
     {
         const std::lock_guard lock(reportMutex);
         lastReport = std::move(report);
+        lastReportAt = Clock::now();
     }
     timer.start(reportInterval, [this] { updateReport(); });
 }
--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -44,6 +44,8 @@
     , options(std::move(gatewayOptions))
     , upstream(eventLoop, {options.headerNames.requestId})
     , tokens(options.host.id(), options.takeTokens)
+    , crashCheck(eventLoop)
+    , blocker(options.host.id())
     , random(randomId())
 {
 }
@@ -67,6 +69,7 @@
     }
     updateServers(now);
     updateCandidates();
+    blocker.setView(*view);
     for (const auto &customer : view->declaration().customers()) {
         const bool pooled = buckets[customer.name()].share() <= 0;
         const double part = customer.rate() * fallbackRateShare
@@ -135,6 +138,12 @@
     });
 }
 
+bool GatewayState::mayReceiveRequests(const std::string &server) const
+{
+    const auto found = m_fingerprints.find(server);
+    return found != m_fingerprints.end() && !found->second.empty();
+}
+
 bool GatewayState::shouldRebalance(Time now)
 {
     return std::uniform_real_distribution<double>()(random)
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -14,6 +14,8 @@
 #include "decide/hostload.h"
 #include "decide/placement.h"
 #include "decide/spill.h"
+#include "gateway/blocker.h"
+#include "gateway/crashcheck.h"
 #include "gateway/gateway.h"
 #include "gateway/routing.h"
 #include "gateway/tokenclient.h"
@@ -76,6 +78,9 @@
     // Selects a server for a request and stores it in `target`; any other result than Chosen tells why there is none.
     PlacementStatus chooseServer(const ServerQuery &query, Time now, Target &target);
 
+    // Whether new requests may be sent to the server: it is in the table, and neither leaving nor drained.
+    bool mayReceiveRequests(const std::string &server) const;
+
     // Whether to close the client's connection after the current response, because this host gets more requests than
     // the mean host of its region. Random, with a probability that grows with the imbalance.
     bool shouldRebalance(Time now);
@@ -84,6 +89,8 @@
     const Gateway::Options options;
     Upstream upstream;
     TokenClient tokens;
+    CrashCheck crashCheck;
+    RequestBlocker blocker;
     std::shared_ptr<const Routing> routing = Routing::build(std::make_shared<const View>());
     std::map<std::string, ServerState> servers;
     std::map<std::string, ServiceState> services;
--- a/gateway/upstream.cpp
+++ b/gateway/upstream.cpp
@@ -55,6 +55,14 @@
                               std::max<Duration>(std::chrono::seconds(seconds) - idleCloseMargin, Duration(0)));
 }
 
+// Result of an attempt whose connection failed after the request was sent.
+AttemptResult resultOf(const asio::error_code &error)
+{
+    const bool endedByServer =
+        error == asio::error::eof || error == asio::error::connection_reset || error == asio::error::broken_pipe;
+    return endedByServer ? AttemptResult::ConnectionEnded : AttemptResult::NoResponse;
+}
+
 } // namespace
 
 class UpstreamConnection;
@@ -189,7 +197,7 @@
                                   return;
                               }
                               if (error) {
-                                  self->fail(AttemptResult::NoResponse, "write: " + error.message());
+                                  self->fail(resultOf(error), "write: " + error.message());
                                   return;
                               }
                               self->m_requestWritten = true;
@@ -225,7 +233,7 @@
             if (m_parser.complete()) {
                 onParsed(true);
             } else {
-                fail(AttemptResult::NoResponse,
+                fail(resultOf(error),
                      m_headDelivered ? "response incomplete: " + error.message() : "read: " + error.message());
             }
             return;
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -19,6 +19,7 @@
 enum class AttemptResult {
     NotSent, // no connection was established, so the server can't have executed the request
     NoResponse, // the request was sent and may have been executed, but no complete response arrived
+    ConnectionEnded, // the same, because the server closed or reset the connection
     Completed, // a complete response was read
 };
 
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -106,6 +106,7 @@
             const ReceivedRequest request{self->m_parser.head(), self->m_parser.takeBody()};
             self->m_parser.reset();
             self->m_server.received.push_back(request);
+            self->m_server.usedConnections += std::exchange(self->m_used, true) ? 0 : 1;
             if (self->m_server.onRequest) {
                 self->m_server.onRequest(self, request);
             }
@@ -118,13 +119,28 @@
 
 ScriptedServer::ScriptedServer(asio::io_context &loop)
     : m_acceptor(loop, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    , m_endpoint(m_acceptor.local_endpoint())
 {
     accept();
 }
 
+void ScriptedServer::crash()
+{
+    m_acceptor.close();
+}
+
+void ScriptedServer::restart()
+{
+    m_acceptor.open(m_endpoint.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(m_endpoint);
+    m_acceptor.listen();
+    accept();
+}
+
 std::string ScriptedServer::address() const
 {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(m_endpoint.port());
 }
 
 void ScriptedServer::accept()
@@ -223,6 +239,9 @@
         evacuation->set_availability_zone(zone);
         evacuation->set_active(true);
     }
+    for (const proto::BlockedRequest &request : blockedRequests) {
+        *content.add_blocked_requests() = request;
+    }
     auto *member = content.add_members();
     member->set_id("own");
     member->set_entry(true);
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -51,6 +51,7 @@
     std::array<char, 4096> m_chunk{};
     std::string m_input;
     HttpParser m_parser{HttpParser::Kind::Request};
+    bool m_used = false; // a request has arrived
 };
 
 // A backend server that passes each request to a callback of the test.
@@ -61,15 +62,23 @@
 
     std::string address() const;
 
+    // Refuses new connections, as a server whose process has ended; the test resets the open ones.
+    void crash();
+
+    // Accepts connections again, at the same address.
+    void restart();
+
     std::function<void(const std::shared_ptr<ScriptedConnection> &, const ReceivedRequest &)> onRequest;
     std::vector<ReceivedRequest> received;
     int connections = 0; // accepted so far
+    int usedConnections = 0; // those on which a request arrived
     int disconnects = 0; // connections that the gateway closed or reset
 
 private:
     void accept();
 
     asio::ip::tcp::acceptor m_acceptor;
+    asio::ip::tcp::endpoint m_endpoint;
 };
 
 // What the test client received.
@@ -90,7 +99,8 @@
     explicit GatewayFixture(std::size_t serverCount = 1);
     ~GatewayFixture();
 
-    // Builds a new table revision from `declaration`, `servers` and `evacuatedZones`, and applies it to the gateway.
+    // Builds a new table revision from `declaration`, `servers`, `evacuatedZones` and `blockedRequests`, and applies it
+    // to the gateway.
     void publishView();
 
     // Runs the loop until the condition holds; fails the test after 10 seconds.
@@ -117,6 +127,7 @@
     std::unique_ptr<HttpServer> httpServer;
     std::string address;
     std::vector<std::string> evacuatedZones; // server N is in availability zone "zN"
+    std::vector<proto::BlockedRequest> blockedRequests;
     TokenClient::SendCall takeTokens; // stands in for the leader; grants no tokens by default
 
 private:
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -216,7 +216,8 @@
     };
     CHECK(fixture.call(GatewayFixture::request("unsafe", "a", "", "x")).status() == 200);
     CHECK(fixture.call(GatewayFixture::request("unsafe", "b", "", "x")).status() == 502);
-    CHECK(fixture.servers[0].connections == 1);
+    CHECK(fixture.servers[0].usedConnections == 1);
+    CHECK(fixture.servers[0].connections == 2); // one that checks whether the server has crashed
     CHECK(receivedRequestCount(fixture) == 2);
 }
 
@@ -237,7 +238,8 @@
     CHECK(fixture.call(GatewayFixture::request("unsafe", "c", "", "x")).status() == 200);
     fixture.runFor(milliseconds(150));
     CHECK(fixture.call(GatewayFixture::request("unsafe", "d", "", "x")).status() == 200);
-    CHECK(fixture.servers[0].connections == 3);
+    CHECK(fixture.servers[0].usedConnections == 3);
+    CHECK(fixture.servers[0].connections == 4); // one that checks whether the server has crashed
 }
 
 TEST_CASE("a safe request is retried on another server, up to the route's max_attempts")
