Don't handle requests of clients that have left

Cause: after a pause of the process, the end of a connection waits in the socket behind the request; the request was passed on before the next read showed the end. A connection now reads what has arrived until nothing is left, and handles no request of a client that has closed. The new case of test_server fails before (the request is handled) and passes now.

So that the pause itself can be seen, a gateway host measures the delay of its event loop (banyanledge_loop_delay_seconds) and logs one above 250 ms.

--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -21,6 +22,9 @@
 // Interval between updates of the report that the next Sync call sends.
 constexpr milliseconds reportInterval{100};
 
+// A delay of the event loop above this is logged: requests and calls waited for as long.
+constexpr milliseconds loopDelayLimit{250};
+
 // Timeout of a call for tokens. No request waits longer for its token.
 constexpr milliseconds tokenTimeout{600};
 
@@ -91,6 +95,7 @@
     bool listen();
     void addReport(proto::SyncRequest &request);
     void updateReport();
+    void measureLoopDelay(Time now);
     bool ready() const;
 
     // Runs a function on the event loop's thread, waits for it and returns its result.
@@ -116,6 +121,7 @@
     std::mutex reportMutex;
     proto::SyncRequest lastReport; // guarded by reportMutex
     Time lastReportAt{}; // guarded by reportMutex
+    Time reportDue{}; // used on the loop only
     bool leaving = false; // used on the loop only
     bool wasReady = false;
     std::thread thread;
@@ -138,8 +144,23 @@
     *request.mutable_refused_blocked() = lastReport.refused_blocked();
 }
 
+// The loop is late when the process got no processor time, was suspended or handled something for long.
+void GatewayHost::Private::measureLoopDelay(Time now)
+{
+    if (reportDue == Time{}) {
+        return;
+    }
+    const Duration delay = std::max(now - reportDue, Duration(0));
+    observeMetric("banyanledge_loop_delay_seconds", {}, std::chrono::duration<double>(delay).count());
+    if (delay > loopDelayLimit) {
+        const auto delayMs = std::chrono::duration_cast<milliseconds>(delay).count();
+        logWarning("the event loop stood still", {{"ms", std::to_string(delayMs)}});
+    }
+}
+
 void GatewayHost::Private::updateReport()
 {
+    measureLoopDelay(Clock::now());
     proto::SyncRequest report;
     gateway.report(report);
     report.set_host_load(static_cast<double>(gateway.inFlight()) / options.settings.gateway().largest_in_flight());
@@ -154,7 +175,8 @@
         lastReport = std::move(report);
         lastReportAt = Clock::now();
     }
-    timer.start(reportInterval, [this] { updateReport(); });
+    reportDue = Clock::now() + reportInterval;
+    timer.start(reportDue, [this] { updateReport(); });
 }
 
 bool GatewayHost::Private::listen()
--- a/net/connection.cpp
+++ b/net/connection.cpp
@@ -167,6 +167,8 @@
 
 void Connection::start()
 {
+    asio::error_code ignored; // the first read fails too
+    m_socket.non_blocking(true, ignored);
     startIdleTimer();
     read();
 }
@@ -232,11 +234,27 @@
     }
     if (!m_lingering) {
         m_input.append(m_readBuffer.data(), size);
+        if (!readAvailable()) {
+            close(CloseReason::ClientClosed);
+            return;
+        }
         parse();
     }
     read();
 }
 
+// Reads what has arrived besides; false if the client has closed the connection. After a pause of the process, the end
+// of the connection may wait behind the request of a client that has given it up.
+bool Connection::readAvailable()
+{
+    asio::error_code error;
+    while (!error && m_input.size() < maxInputBytes) {
+        const std::size_t size = m_socket.read_some(asio::buffer(m_readBuffer), error);
+        m_input.append(m_readBuffer.data(), size);
+    }
+    return !error || error == asio::error::would_block;
+}
+
 // Whether no further request of this connection is handled, because the newest response closes it.
 bool Connection::closesAfterNewest() const
 {
--- a/net/connection.h
+++ b/net/connection.h
@@ -86,6 +86,7 @@
 
     void read();
     void onRead(const asio::error_code &error, std::size_t size);
+    bool readAvailable();
     void parse();
     void receiveBody();
     void sendContinue();
--- a/tests/test_server.cpp
+++ b/tests/test_server.cpp
@@ -289,7 +289,8 @@
     CHECK(fixture.receive("second") == ok("first") + ok("second"));
 }
 
-// Guards against requests that are cut off unread at a planned stop, because their connection was still counted as idle.
+// Guards against requests that are cut off unread at a planned stop, because their connection was still counted as
+// idle.
 TEST_CASE("a request that has arrived is answered when the server closes its idle connections")
 {
     PipelineFixture fixture;
@@ -305,3 +306,15 @@
     bool reset = false;
     CHECK(fixture.receiveUntilClosed(reset) == ok("second", "Connection: close\r\n"));
 }
+
+// Guards against requests that are passed on long after their clients have left: the process stood still meanwhile, and
+// the end of the connection waited behind the request.
+TEST_CASE("a request whose client has closed the connection before it was read is not handled")
+{
+    PipelineFixture fixture;
+    fixture.runFor(milliseconds(10));
+    fixture.send(get("/a"));
+    fixture.closeClient();
+    fixture.expectArrivals({});
+    fixture.runUntil([&] { return fixture.server->connections() == 0; });
+}
