Keep reports of older crash evidence small

A host repeated up to ten requests in each report for as long as it kept their evidence, 2.2 KB with 300 requests of one crash and 1.4 KB a minute later. It now repeats those with two crashes or more, those of the last 5 s and two others: 1.3 KB and 0.5 KB (test_crashes, reports of many crashes stay small).

--- a/gateway/blocker.cpp
+++ b/gateway/blocker.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t maxNewestReported = 4;
 constexpr std::size_t maxOthersReported = 2;
 
+// Time for which evidence counts as new.
+constexpr milliseconds newestLifetime{5000};
+
 // Time since the last reply of the leader after which this host decides by itself.
 constexpr milliseconds contactTimeout{1500};
 
@@ -59,14 +62,34 @@
     }
 }
 
-bool isStronger(const SuspectEntry *a, const SuspectEntry *b)
+using SuspectEntries = std::vector<const SuspectEntry *>;
+
+// The end of up to `limit` entries from `first` on that satisfy the condition.
+template<typename Condition>
+SuspectEntries::iterator endOf(SuspectEntries &entries, SuspectEntries::iterator first, std::size_t limit,
+                               Condition condition)
 {
-    return crashesInSequence(a->second.crashes) > crashesInSequence(b->second.crashes);
+    const auto last = first + std::min<std::ptrdiff_t>(entries.end() - first, static_cast<std::ptrdiff_t>(limit));
+    return std::find_if_not(first, last, condition);
 }
 
-bool isNewer(const SuspectEntry *a, const SuspectEntry *b)
+// The entries with the strongest evidence, then those with the newest, then some of the others at random.
+SuspectEntries selectForReport(SuspectEntries entries, std::mt19937 &random, Time now)
 {
-    return a->second.changed > b->second.changed;
+    const auto strength = [](const SuspectEntry *entry) { return crashesInSequence(entry->second.crashes); };
+    std::sort(entries.begin(), entries.end(),
+              [&strength](const SuspectEntry *a, const SuspectEntry *b) { return strength(a) > strength(b); });
+    const auto newest = endOf(entries, entries.begin(), maxStrongestReported,
+                              [&strength](const SuspectEntry *entry) { return strength(entry) > 1; });
+    std::sort(newest, entries.end(),
+              [](const SuspectEntry *a, const SuspectEntry *b) { return a->second.changed > b->second.changed; });
+    const auto others = endOf(entries, newest, maxNewestReported, [now](const SuspectEntry *entry) {
+        return now < entry->second.changed + newestLifetime;
+    });
+    std::shuffle(others, entries.end(), random);
+    const auto end = endOf(entries, others, maxOthersReported, [](const SuspectEntry *) { return true; });
+    entries.erase(end, entries.end());
+    return entries;
 }
 
 } // namespace
@@ -199,20 +222,14 @@
         }
     }
     m_evidence.removeExpired(now);
-    std::vector<const SuspectEntry *> entries;
+    SuspectEntries entries;
     for (const SuspectEntry &entry : m_evidence.suspects()) {
         // Of a blocked request only a success matters.
         if (!m_blocked.contains(entry.first) || entry.second.crashes.empty()) {
             entries.push_back(&entry);
         }
     }
-    const auto newest = entries.begin() + static_cast<std::ptrdiff_t>(std::min(entries.size(), maxStrongestReported));
-    std::partial_sort(entries.begin(), newest, entries.end(), isStronger);
-    const auto others = newest + std::min<std::ptrdiff_t>(entries.end() - newest, maxNewestReported);
-    std::partial_sort(newest, others, entries.end(), isNewer);
-    std::shuffle(others, entries.end(), m_random);
-    entries.resize(std::min(entries.size(), maxStrongestReported + maxNewestReported + maxOthersReported));
-    for (const SuspectEntry *entry : entries) {
+    for (const SuspectEntry *entry : selectForReport(std::move(entries), m_random, now)) {
         addSuspect(request, *entry, now);
     }
 }
--- a/tests/test_crashes.cpp
+++ b/tests/test_crashes.cpp
@@ -344,6 +344,22 @@
     CHECK(fleet.largestReport < 8192);
 }
 
+// Guards against reports that load the links of all hosts for as long as the evidence of an incident is kept.
+TEST_CASE("reports of many crashes stay small, and those of older ones smaller")
+{
+    Fleet fleet(1);
+    for (std::uint32_t i = 0; i < 300; ++i) {
+        const RequestDescription description{"route", "customer", "GET", std::string(128, 'p')};
+        const std::string fingerprint = fingerprintOf({"GET", "h", "/" + std::to_string(i), "c", ""});
+        fleet.gateways[0].recordCrash(fingerprint, description, crash(i, at(100)), at(100));
+    }
+    fleet.sync(at(200));
+    CHECK(fleet.largestReport < 4096);
+    fleet.largestReport = 0;
+    fleet.sync(at(60000));
+    CHECK(fleet.largestReport < 800); // at 2.5 calls a second, half of the 4 KB/s that control may use
+}
+
 // Guards against blocking requests for the same object as the one that crashes servers: they run on the same servers
 // and follow it from server to server.
 TEST_CASE("requests that were running in the crashes of another one stay served")
