Answer requests whose time passed before they are sent to a backend server

Callers' requests that waited behind a download or an unsafe request of their connection, or for a token, until their time had passed, were still passed on. By the code, such a request is sent with 1 ms left and cancelled at once, with 504 and a failure recorded against a sound server; three in a row eject the server.

Cause: only attempts after the first check the time that is left.

No server gets the request, so 503 is true.

Tests: two new cases of test_gateway. Without the change both fail: the server received 2 requests instead of 1 (behind a download), and 1 instead of 0 with status 200 (behind a token granted 30 ms too late). Now they pass, as do test_gateway, test_server, test_base and test_blocking.

--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -99,6 +99,9 @@
 
 void ForwardedRequest::startAttempts()
 {
+    if (rejectIfLate(Clock::now())) {
+        return;
+    }
     m_timer.start(m_deadline + responseGracePeriod, [self = shared_from_this()] { self->onTimeout(); });
     tryNextServer();
 }
@@ -130,6 +133,9 @@
     const milliseconds routeTimeout(m_route->timeout_ms() > 0 ? m_route->timeout_ms() : maxDeadline.count());
     m_deadline =
         request.receiveStart + std::min(routeTimeout, clientTimeout ? milliseconds(*clientTimeout) : routeTimeout);
+    if (rejectIfLate(now)) {
+        return false;
+    }
     const std::string affinityKey = headerValue(request.head.headers, m_state.options.headerNames.affinityKey);
     m_affinityHash = m_route->affinity() && !affinityKey.empty()
         ? mixHashes(hashText(affinityKey), hashText(m_route->path_prefix()))
@@ -160,6 +166,17 @@
     return true;
 }
 
+// Rejects a request whose time ran out while it waited behind others of its connection or for a token. A server would
+// be charged with a timeout that is not its own.
+bool ForwardedRequest::rejectIfLate(Time now)
+{
+    if (timeLeft(now) > Duration(0)) {
+        return false;
+    }
+    reject(503, "the time passed before it was sent to a backend server", retryAfterOverload);
+    return true;
+}
+
 bool ForwardedRequest::authenticate()
 {
     if (m_routing->view().declaration().customers().empty()) {
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -48,6 +48,7 @@
     };
 
     bool admit();
+    bool rejectIfLate(Time now);
     bool authenticate();
     void startAttempts();
     void onTokenResult(TokenGrant grant);
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -524,6 +524,69 @@
     CHECK(receivedRequestCount(fixture) == 1);
 }
 
+// Guards against a sound server that is charged with a timeout, and ejected after three of them, by requests whose time
+// had passed before they were sent to it.
+TEST_CASE("a request whose time passed while it waited behind another one is not sent to a server")
+{
+    GatewayFixture fixture(1);
+    Connection download;
+    ReceivedRequest downloadRequest;
+    fixture.servers[0].onRequest = [&](const Connection &connection, const ReceivedRequest &request) {
+        if (request.head.target.starts_with("/download")) {
+            download = connection;
+            downloadRequest = request;
+        } else {
+            connection->respond(request, 200, "ran");
+        }
+    };
+    const auto socket = fixture.connect();
+    std::string late = GatewayFixture::request("safe", "b");
+    late.replace(late.find("Left-Ms: 1000"), 13, "Left-Ms: 100");
+    asio::write(*socket, asio::buffer(GatewayFixture::request("download", "a") + late));
+    fixture.runUntil([&] { return download != nullptr; });
+    fixture.runFor(milliseconds(150));
+    download->respond(downloadRequest, 200, "whole");
+    std::string received;
+    socket->non_blocking(true);
+    fixture.runUntil([&] {
+        std::array<char, 4096> chunk{};
+        asio::error_code error; // no bytes yet
+        received.append(chunk.data(), socket->read_some(asio::buffer(chunk), error));
+        return received.find("HTTP/1.1", 1) != std::string::npos
+            && (received.ends_with("\n") || received.ends_with("ran"));
+    });
+    CHECK(received.starts_with("HTTP/1.1 200 "));
+    CHECK(received.find("\r\n\r\nwholeHTTP/1.1 503 ") != std::string::npos);
+    CHECK(received.ends_with("\r\n\r\nthe time passed before it was sent to a backend server\n"));
+    CHECK(receivedRequestCount(fixture) == 1);
+}
+
+// Guards against the same for a request that waited for the leader's token longer than it had time.
+TEST_CASE("a request whose time passed while it waited for a token is not sent to a server")
+{
+    GatewayFixture fixture(1);
+    fixture.declaration.mutable_customers(0)->set_rate(1);
+    fixture.declaration.mutable_customers(0)->set_burst(1);
+    fixture.publishView();
+    std::function<void(const proto::TakeTokensReply &)> sendTokenReply;
+    fixture.takeTokens = [&sendTokenReply](const auto &, auto done) { sendTokenReply = std::move(done); };
+    const auto socket = fixture.connect();
+    std::string bytes = GatewayFixture::request("safe", "a");
+    bytes.replace(bytes.find("Left-Ms: 1000"), 13, "Left-Ms: 50");
+    asio::write(*socket, asio::buffer(bytes));
+    fixture.runUntil([&] { return bool(sendTokenReply); });
+    fixture.runFor(milliseconds(80));
+    proto::TakeTokensReply reply;
+    reply.add_granted()->set_customer("cust");
+    reply.mutable_granted(0)->set_amount(1);
+    sendTokenReply(reply);
+    const auto response = fixture.receiveResponse(*socket);
+    CHECK(response.status() == 503);
+    CHECK(response.body == "the time passed before it was sent to a backend server\n");
+    CHECK_FALSE(response.header("Retry-After").empty());
+    CHECK(receivedRequestCount(fixture) == 0);
+}
+
 TEST_CASE("requests beyond the declared limits are rejected")
 {
     GatewayFixture fixture(1);
