Reuse a connection to a backend server only if nothing has arrived on it

Callers got 502 for unsafe requests that no server had run, and servers were charged with a failure: the server had closed its idle connection, or written on it (a 408, say), before the request was sent. That had reached this host, but the loop had been busy and handled the client's request first.

Cause: whether an event on a connection counts against a request was decided by m_inUse when the pending read completed, not by what had arrived when the request took the connection.

Change: takeIdle peeks into the socket without blocking, and closes and skips a connection on which there is anything but "would block". It costs one system call for each reuse; its time was not measured. What remains: bytes that arrive between the read of a response and the next read, which the kernel hands over at once, are no longer in the socket when another request peeks before that read's completion runs. An end or reset of the connection is still seen then.

Test: test_gateway, server closes, resets and writes on its idle connection after the client's next request has become ready. Without the change each of the three gets 502 instead of 200; now each is sent on a new connection. test_gateway, test_server, test_base and test_blocking pass.

--- a/gateway/upstream.cpp
+++ b/gateway/upstream.cpp
@@ -1,8 +1,11 @@
 #include "gateway/upstream.h"
 
+#include <sys/socket.h>
+
 #include <asio/write.hpp>
 
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <deque>
 #include <map>
@@ -158,6 +161,15 @@
         return !m_closed && now < m_idleUntil && now - m_idleSince <= maxIdleTime;
     }
 
+    // Whether the server has neither closed the idle connection nor sent bytes on it. Asks the kernel, because the
+    // loop may not have handled the pending read yet.
+    bool silent()
+    {
+        char byte = 0;
+        const ssize_t size = ::recv(m_socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+        return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    }
+
     void close()
     {
         if (m_closed) {
@@ -370,14 +382,14 @@
     const auto found = idleConnections.find(server);
     while (found != idleConnections.end() && !found->second.empty()) {
         auto connection = found->second.back();
-        if (connection->usable(maxIdleTime)) {
-            found->second.pop_back();
-            return connection;
-        }
-        if (connection->usable(Duration::max())) {
+        const bool sound = connection->usable(Duration::max()) && connection->silent();
+        if (sound && !connection->usable(maxIdleTime)) {
             return nullptr; // left for requests that tolerate a longer idle time
         }
         found->second.pop_back();
+        if (sound) {
+            return connection;
+        }
         connection->close();
     }
     return nullptr;
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -260,6 +260,41 @@
     CHECK(receivedRequestCount(fixture) == 4);
 }
 
+// Guards against an unsafe request that gets 502 although it did not run, because the loop handled it before the end of
+// the idle connection or the bytes on it, which had arrived earlier.
+TEST_CASE("an idle connection that the server closed or wrote on is not reused, even if the loop has not seen it yet")
+{
+    GatewayFixture fixture(1);
+    Connection idle;
+    fixture.servers[0].onRequest = [&idle](const Connection &connection, const ReceivedRequest &request) {
+        idle = connection;
+        connection->respond(request, 200, "ok");
+    };
+    const auto socket = fixture.connect();
+    asio::write(*socket, asio::buffer(GatewayFixture::request("unsafe", "a", "", "x")));
+    CHECK(fixture.receiveResponse(*socket).status() == 200);
+    fixture.runFor(milliseconds(20));
+    // The loop handles sockets in the order in which they became ready: the client's is the first.
+    asio::write(*socket, asio::buffer(GatewayFixture::request("unsafe", "b", "", "x")));
+    SECTION("closed")
+    {
+        idle->close();
+    }
+    SECTION("reset")
+    {
+        idle->reset();
+    }
+    SECTION("bytes without a request")
+    {
+        idle->write("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n");
+    }
+    const auto response = fixture.receiveResponse(*socket);
+    CHECK(response.status() == 200);
+    CHECK(response.header("Req-Id") == "b");
+    CHECK(fixture.servers[0].usedConnections == 2);
+    CHECK(receivedRequestCount(fixture) == 2);
+}
+
 TEST_CASE("a request that a server refused without executing it is retried whatever its kind")
 {
     GatewayFixture fixture(2);
