Read on an idle connection to a backend server whose last response was paused

A connection could return to the pool with no read pending: a slow client pauses the response in the buffer that completes it, and read() does nothing while the connection is paused. Nobody reported it; it was found by reading.

Change: returnToPool ends the pause. It is called by onRead only, which reads on afterwards.

Test: test_gateway, an attempt that is paused while its last bytes are passed on, and a server that then writes on the idle connection. Without the change the gateway has not closed the connection 100 ms later (0 disconnects instead of 1); now it has. test_gateway, test_server, test_base and test_blocking pass.

--- a/gateway/upstream.cpp
+++ b/gateway/upstream.cpp
@@ -333,6 +333,7 @@
     {
         m_idleSince = Clock::now();
         m_idleUntil = m_idleSince + idleTimeout;
+        m_paused = false; // onRead reads on after the response; that notices a close by the server
         m_request.bytes.clear();
         auto &idleConnections = m_pool->idleConnections[m_server];
         idleConnections.push_back(shared_from_this());
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -2,7 +2,9 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "gateway/upstream.h"
 #include "gateway_fixture.h"
+#include "net/address.h"
 
 using namespace banyanledge;
 
@@ -295,6 +297,39 @@
     CHECK(receivedRequestCount(fixture) == 2);
 }
 
+// Guards against an idle connection on which nothing is read: a slow client had paused the response at its last bytes.
+TEST_CASE("an idle connection whose last response was paused at its end still notices the server")
+{
+    asio::io_context loop;
+    ScriptedServer server(loop);
+    Connection idle;
+    server.onRequest = [&idle](const Connection &connection, const ReceivedRequest &request) {
+        idle = connection;
+        connection->respond(request, 200, "ok");
+    };
+    Upstream upstream(loop, {"Req-Id"});
+    std::shared_ptr<UpstreamAttempt> attempt;
+    bool completed = false;
+    AttemptHandlers handlers;
+    handlers.head = [](const HttpHead &) {};
+    handlers.body = [&attempt](const std::string &) { attempt->setPaused(true); };
+    handlers.end = [&completed](AttemptResult result, const std::string &) {
+        completed = result == AttemptResult::Completed;
+    };
+    UpstreamRequest request;
+    request.serverId = "s0";
+    request.address = *parseEndpoint(server.address());
+    request.bytes = "GET / HTTP/1.1\r\nReq-Id: a\r\n\r\n";
+    request.requestId = "a";
+    attempt = upstream.send(request, handlers);
+    loop.run_for(milliseconds(100));
+    REQUIRE(completed);
+    idle->write("bytes without a request");
+    loop.restart();
+    loop.run_for(milliseconds(100));
+    CHECK(server.disconnects == 1);
+}
+
 TEST_CASE("a request that a server refused without executing it is retried whatever its kind")
 {
     GatewayFixture fixture(2);
