Log a whole response that was not sent because its connection ended

A pipelined request was logged by the gateway with status 200 although its client got no byte of the answer: the response was whole and waited for an earlier one, whose end cut the connection. Only the metric banyanledge_http_requests_cut_total counted it.

Cause: the handler is done with a call once its response is whole, and disconnectCalls tells only handlers that are not.

Change: disconnectCalls logs one line for such a call with its path (without the query, which may hold keys; 128 bytes at most), the reason and whether bytes of it may have been sent. The line has no request id, because net/ knows no header names.

Test: test_server, "a whole response that is not sent because of an earlier one is logged".

--- a/net/connection.cpp
+++ b/net/connection.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "base/log.h"
 #include "base/metrics.h"
 
 namespace banyanledge
@@ -24,6 +25,9 @@
 // Time for a client to receive the last response before the connection is closed.
 constexpr milliseconds lingerTimeout{1000};
 
+// Longest path in a log line.
+constexpr std::size_t maxLoggedPathBytes = 128;
+
 } // namespace
 
 const char *closeReasonText(CloseReason reason)
@@ -199,6 +203,14 @@
         if (call->m_aborted) {
             continue;
         }
+        if (call->m_ended) {
+            // Its handler has finished with it, so nobody else tells that the client did not get the response.
+            const bool writing = call == calls.front() && !m_writing.empty();
+            logInfo("response not sent whole, because the connection ended first",
+                    {{"path", std::string(targetPath(call->m_request.head.target).substr(0, maxLoggedPathBytes))},
+                     {"reason", closeReasonText(reason)},
+                     {"sent", writing ? "maybe" : "no"}});
+        }
         countMetric("banyanledge_http_requests_cut_total", {{"reason", closeReasonText(reason)}});
         call->m_disconnected = reason;
         call->m_drainedCallback = {};
--- a/tests/test_server.cpp
+++ b/tests/test_server.cpp
@@ -1,12 +1,18 @@
 // Pipelined requests at the HTTP server, over real sockets.
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
+#include <cstdio>
 #include <functional>
 #include <map>
 #include <thread>
 
 #include <asio.hpp>
 
+#include "base/log.h"
 #include "net/server.h"
 
 using namespace banyanledge;
@@ -131,6 +137,48 @@
     std::vector<std::string> m_arrivals; // paths
 };
 
+// Collects what is logged, instead of printing it.
+class LogCapture
+{
+public:
+    LogCapture()
+        : m_file(std::tmpfile())
+        , m_standardOutput(dup(STDOUT_FILENO))
+    {
+        std::fflush(stdout);
+        dup2(fileno(m_file), STDOUT_FILENO);
+        startLog("info", "test");
+    }
+
+    ~LogCapture()
+    {
+        end();
+        std::fclose(m_file);
+    }
+
+    // Ends the collection and returns the lines.
+    std::string end()
+    {
+        if (m_standardOutput >= 0) {
+            stopLog();
+            dup2(m_standardOutput, STDOUT_FILENO);
+            close(std::exchange(m_standardOutput, -1));
+            startLog("error", "test"); // as tests/main.cpp does
+        }
+        std::string text;
+        std::rewind(m_file);
+        std::array<char, 4096> buffer{};
+        for (std::size_t size = 0; (size = std::fread(buffer.data(), 1, buffer.size(), m_file)) > 0;) {
+            text.append(buffer.data(), size);
+        }
+        return text;
+    }
+
+private:
+    std::FILE *m_file;
+    int m_standardOutput;
+};
+
 std::string get(const std::string &path, const std::string &headers = {})
 {
     return "GET " + path + " HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n";
@@ -231,6 +279,27 @@
     CHECK(fixture.disconnected == std::vector<std::string>{"/c"});
 }
 
+// Guards against a response that the gateway logs as sent although no byte of it was sent.
+TEST_CASE("a whole response that is not sent because of an earlier one is logged")
+{
+    LogCapture log;
+    {
+        PipelineFixture fixture;
+        fixture.send(get("/a?key=1") + get("/b?key=2") + get("/c"));
+        fixture.expectArrivals({"/a?key=1", "/b?key=2", "/c"});
+        fixture.calls["/b?key=2"]->respond(200, {}, "second");
+        fixture.calls["/a?key=1"]->begin(200, {}, 100);
+        fixture.calls["/a?key=1"]->write("part");
+        fixture.calls["/a?key=1"]->abort();
+        CHECK(fixture.disconnected == std::vector<std::string>{"/c"});
+    }
+    const std::string lines = log.end();
+    CHECK(std::count(lines.begin(), lines.end(), '\n') == 1);
+    CHECK_THAT(lines,
+               Catch::Contains("\"message\":\"response not sent whole, because the connection ended first\","
+                               "\"path\":\"/b\",\"reason\":\"an earlier response was cut\",\"sent\":\"no\""));
+}
+
 TEST_CASE("an unreadable request is refused after the responses before it")
 {
     PipelineFixture fixture;
@@ -289,7 +358,8 @@
     CHECK(fixture.receive("second") == ok("first") + ok("second"));
 }
 
-// Guards against requests that are cut off unread at a planned stop, because their connection was still counted as idle.
+// Guards against requests that are cut off unread at a planned stop, because their connection was still counted as
+// idle.
 TEST_CASE("a request that has arrived is answered when the server closes its idle connections")
 {
     PipelineFixture fixture;
