Let the responses before an aborted one arrive whole

Callers that pipeline could lose an answer that was whole: behind it was a response that was cut before its turn, and the connection was reset as soon as the answer had been handed to the kernel. A reset destroys what the kernel has not sent yet. Found by reading.

Cause: flush() reset the connection for every aborted response. A reset is needed only where bytes of the response were sent, so that it does not look complete.

Change: an aborted response of which no byte was sent ends the connection by shutting down its sending side, as after a last response; calls behind it are disconnected with "an earlier response was cut". One of which bytes were sent still resets it.

--- a/net/connection.cpp
+++ b/net/connection.cpp
@@ -387,9 +387,10 @@
     if (!m_calls.empty()) {
         PendingCall &front = *m_calls.front();
         if (front.m_aborted) {
-            reset();
+            cutFront();
             return;
         }
+        front.m_sending = front.m_sending || !front.m_output.empty();
         m_writing += std::exchange(front.m_output, {});
         if (m_writing.empty() && front.m_ended) {
             finishFront();
@@ -430,7 +431,7 @@
     const auto finished = m_calls.front();
     m_calls.pop_front();
     if (finished->m_closeAfterResponse) {
-        linger();
+        linger(CloseReason::EarlierResponseLast);
         return;
     }
     if (m_calls.empty() && !m_requestStarted) {
@@ -452,7 +453,18 @@
 void Connection::abortCall(const PendingCall &call)
 {
     if (!m_calls.empty() && m_calls.front().get() == &call) {
+        cutFront();
+    }
+}
+
+// Ends the connection instead of sending the rest of the oldest response. A reset would destroy bytes of the responses
+// before it that the kernel still has to send.
+void Connection::cutFront()
+{
+    if (m_calls.front()->m_sending) {
         reset();
+    } else {
+        linger(CloseReason::EarlierResponseCut);
     }
 }
 
@@ -466,14 +478,14 @@
 
 // Shuts down sending and closes the connection after lingerTimeout. Closing at once with unread bytes would reset the
 // connection and could lose a response in transit. Requests behind the last response count as not read.
-void Connection::linger()
+void Connection::linger(CloseReason reason)
 {
     m_lingering = true;
     m_input.clear();
-    disconnectCalls(CloseReason::EarlierResponseLast);
+    disconnectCalls(reason);
     asio::error_code ignored; // the client may have closed already
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    startTimer(lingerTimeout, [this] { close(CloseReason::EarlierResponseLast); });
+    startTimer(lingerTimeout, [this, reason] { close(reason); });
     read();
 }
 
--- a/net/connection.h
+++ b/net/connection.h
@@ -45,8 +45,9 @@
     HttpRequest m_request;
     std::string m_output; // bytes not handed to the socket yet
     bool m_started = false;
+    bool m_sending = false; // bytes of the response were handed to the socket
     bool m_ended = false; // the whole response was passed to this call
-    bool m_aborted = false; // the connection is reset instead of continuing this response
+    bool m_aborted = false; // the connection ends instead of continuing this response
     std::optional<CloseReason> m_disconnected; // the connection was closed before the response had ended
     bool m_chunked = false;
     bool m_noBody = false; // the response has no body
@@ -101,8 +102,9 @@
     void onWritten(const asio::error_code &error);
     void finishFront();
     void abortCall(const PendingCall &call);
+    void cutFront();
     void reset();
-    void linger();
+    void linger(CloseReason reason);
     void disconnectCalls(CloseReason reason);
     void startIdleTimer();
     void startHeaderTimer();
--- a/net/server.h
+++ b/net/server.h
@@ -61,7 +61,8 @@
     // Calls back once after the next completed write, when bufferedBytes() has fallen.
     virtual void onDrained(std::function<void()> callback) = 0;
 
-    // Resets the connection, so that a started response does not look complete.
+    // Ends the connection after the responses before this one. Resets it if bytes of this response were sent, so that
+    // it does not look complete.
     virtual void abort() = 0;
 
     // Calls back when the connection is closed before the response has ended.
