Destroy the requests left at the end of a gateway before what they use

At the end of a process whose stop deadline passed with requests left, memory that was freed was written to; what callers or operators would see of it is not known. Found by reading.

Cause: ~GatewayHost destroys the gateway before the loop. Completions that were cancelled or posted when the server for clients ended stay in the loop and hold requests, whose destructor counts down in the gateway's state.

Change: once the servers have ended, ~GatewayHost stops its own timer, which would use a server that is gone, and runs what is ready in the loop. The thread of the loop and the control client have ended before. The fixture of the gateway's tests drains in the same place.

Checked with an address-sanitizer build of test_gateway. With the former order, a trial of the new case "no request is left once the server for clients has ended and the loop was drained" without its draining ends with heap-use-after-free in ~ForwardedRequest (forward.cpp:48), in the fixture, which has the order of GatewayHost. With the draining, the case and all of test_gateway run without a report (leak detection was off). Without the sanitizer the case only checks that draining leaves no request; it passes without this change too. ~GatewayHost itself was checked by reading, as no test starts one in its own process. test_gateway, test_server, test_base and test_blocking pass.

--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -205,6 +205,11 @@
     d->clientServer.reset();
     d->readinessServer.reset();
     d->lookupServer.reset();
+    // Completions in the loop hold requests that were left at the stop deadline; these use the gateway, which ends
+    // before the loop.
+    d->timer.stop();
+    d->loop.restart();
+    d->loop.poll();
 }
 
 bool GatewayHost::start()
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -215,6 +215,9 @@
 GatewayFixture::~GatewayFixture()
 {
     httpServer.reset();
+    // Handlers in the loop hold requests, which use the gateway.
+    loop.restart();
+    loop.poll();
     gateway.reset();
     loop.poll();
 }
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -477,6 +477,50 @@
     CHECK(fixture.gateway->inFlight() == 0);
 }
 
+// Guards against requests that outlive the gateway in the handlers of its loop, and then write to its freed memory.
+// Only a build with the address sanitizer sees the write; the fixture ends in the same order as GatewayHost.
+TEST_CASE("no request is left once the server for clients has ended and the loop was drained")
+{
+    GatewayFixture fixture(1);
+    bool arrived = false;
+    std::function<void(const proto::TakeTokensReply &)> sendTokenReply;
+    std::string kind = "safe";
+    SECTION("at a server")
+    {
+        fixture.servers[0].onRequest = [&](const Connection &, const ReceivedRequest &) { arrived = true; };
+    }
+    SECTION("in the middle of its response")
+    {
+        kind = "download";
+        fixture.servers[0].onRequest = [&](const Connection &connection, const ReceivedRequest &) {
+            connection->write("HTTP/1.1 200 OK\r\nReq-Id: a\r\nSigned: s\r\nContent-Length: 400000\r\n\r\n"
+                              + std::string(200000, 'x'));
+            arrived = true;
+        };
+    }
+    SECTION("waiting for a token")
+    {
+        fixture.declaration.mutable_customers(0)->set_rate(1);
+        fixture.declaration.mutable_customers(0)->set_burst(1);
+        fixture.publishView();
+        fixture.takeTokens = [&](const auto &, auto done) {
+            sendTokenReply = std::move(done);
+            arrived = true;
+        };
+    }
+    const auto socket = fixture.connect();
+    asio::write(*socket, asio::buffer(GatewayFixture::request(kind, "a")));
+    fixture.runUntil([&] { return arrived; });
+    CHECK(fixture.gateway->inFlight() == 1);
+    fixture.httpServer.reset();
+    if (sendTokenReply) {
+        std::exchange(sendTokenReply, {})({}); // as the client of the control hosts does when it is stopped
+    }
+    fixture.loop.restart();
+    fixture.loop.poll();
+    CHECK(fixture.gateway->inFlight() == 0);
+}
+
 // The client states a timeout shorter than the route's first, then the route's is the shorter one.
 TEST_CASE("the timeout of the client or the route ends a request at once with 504")
 {
