--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -2,7 +2,9 @@
 #include <asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "gateway/upstream.h"
 #include "gateway_fixture.h"
+#include "net/address.h"
 
 using namespace banyanledge;
 
@@ -260,6 +262,74 @@
     CHECK(receivedRequestCount(fixture) == 4);
 }
 
+// Guards against an unsafe request that gets 502 although it did not run, because the loop handled it before the end of
+// the idle connection or the bytes on it, which had arrived earlier.
+TEST_CASE("an idle connection that the server closed or wrote on is not reused, even if the loop has not seen it yet")
+{
+    GatewayFixture fixture(1);
+    Connection idle;
+    fixture.servers[0].onRequest = [&idle](const Connection &connection, const ReceivedRequest &request) {
+        idle = connection;
+        connection->respond(request, 200, "ok");
+    };
+    const auto socket = fixture.connect();
+    asio::write(*socket, asio::buffer(GatewayFixture::request("unsafe", "a", "", "x")));
+    CHECK(fixture.receiveResponse(*socket).status() == 200);
+    fixture.runFor(milliseconds(20));
+    // The loop handles sockets in the order in which they became ready: the client's is the first.
+    asio::write(*socket, asio::buffer(GatewayFixture::request("unsafe", "b", "", "x")));
+    SECTION("closed")
+    {
+        idle->close();
+    }
+    SECTION("reset")
+    {
+        idle->reset();
+    }
+    SECTION("bytes without a request")
+    {
+        idle->write("HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n");
+    }
+    const auto response = fixture.receiveResponse(*socket);
+    CHECK(response.status() == 200);
+    CHECK(response.header("Req-Id") == "b");
+    CHECK(fixture.servers[0].usedConnections == 2);
+    CHECK(receivedRequestCount(fixture) == 2);
+}
+
+// Guards against an idle connection on which nothing is read: a slow client had paused the response at its last bytes.
+TEST_CASE("an idle connection whose last response was paused at its end still notices the server")
+{
+    asio::io_context loop;
+    ScriptedServer server(loop);
+    Connection idle;
+    server.onRequest = [&idle](const Connection &connection, const ReceivedRequest &request) {
+        idle = connection;
+        connection->respond(request, 200, "ok");
+    };
+    Upstream upstream(loop, {"Req-Id"});
+    std::shared_ptr<UpstreamAttempt> attempt;
+    bool completed = false;
+    AttemptHandlers handlers;
+    handlers.head = [](const HttpHead &) {};
+    handlers.body = [&attempt](const std::string &) { attempt->setPaused(true); };
+    handlers.end = [&completed](AttemptResult result, const std::string &) {
+        completed = result == AttemptResult::Completed;
+    };
+    UpstreamRequest request;
+    request.serverId = "s0";
+    request.address = *parseEndpoint(server.address());
+    request.bytes = "GET / HTTP/1.1\r\nReq-Id: a\r\n\r\n";
+    request.requestId = "a";
+    attempt = upstream.send(request, handlers);
+    loop.run_for(milliseconds(100));
+    REQUIRE(completed);
+    idle->write("bytes without a request");
+    loop.restart();
+    loop.run_for(milliseconds(100));
+    CHECK(server.disconnects == 1);
+}
+
 TEST_CASE("a request that a server refused without executing it is retried whatever its kind")
 {
     GatewayFixture fixture(2);
@@ -407,6 +477,50 @@
     CHECK(fixture.gateway->inFlight() == 0);
 }
 
+// Guards against requests that outlive the gateway in the handlers of its loop, and then write to its freed memory.
+// Only a build with the address sanitizer sees the write; the fixture ends in the same order as GatewayHost.
+TEST_CASE("no request is left once the server for clients has ended and the loop was drained")
+{
+    GatewayFixture fixture(1);
+    bool arrived = false;
+    std::function<void(const proto::TakeTokensReply &)> sendTokenReply;
+    std::string kind = "safe";
+    SECTION("at a server")
+    {
+        fixture.servers[0].onRequest = [&](const Connection &, const ReceivedRequest &) { arrived = true; };
+    }
+    SECTION("in the middle of its response")
+    {
+        kind = "download";
+        fixture.servers[0].onRequest = [&](const Connection &connection, const ReceivedRequest &) {
+            connection->write("HTTP/1.1 200 OK\r\nReq-Id: a\r\nSigned: s\r\nContent-Length: 400000\r\n\r\n"
+                              + std::string(200000, 'x'));
+            arrived = true;
+        };
+    }
+    SECTION("waiting for a token")
+    {
+        fixture.declaration.mutable_customers(0)->set_rate(1);
+        fixture.declaration.mutable_customers(0)->set_burst(1);
+        fixture.publishView();
+        fixture.takeTokens = [&](const auto &, auto done) {
+            sendTokenReply = std::move(done);
+            arrived = true;
+        };
+    }
+    const auto socket = fixture.connect();
+    asio::write(*socket, asio::buffer(GatewayFixture::request(kind, "a")));
+    fixture.runUntil([&] { return arrived; });
+    CHECK(fixture.gateway->inFlight() == 1);
+    fixture.httpServer.reset();
+    if (sendTokenReply) {
+        std::exchange(sendTokenReply, {})({}); // as the client of the control hosts does when it is stopped
+    }
+    fixture.loop.restart();
+    fixture.loop.poll();
+    CHECK(fixture.gateway->inFlight() == 0);
+}
+
 // The client states a timeout shorter than the route's first, then the route's is the shorter one.
 TEST_CASE("the timeout of the client or the route ends a request at once with 504")
 {
@@ -524,6 +638,69 @@
     CHECK(receivedRequestCount(fixture) == 1);
 }
 
+// Guards against a sound server that is charged with a timeout, and ejected after three of them, by requests whose time
+// had passed before they were sent to it.
+TEST_CASE("a request whose time passed while it waited behind another one is not sent to a server")
+{
+    GatewayFixture fixture(1);
+    Connection download;
+    ReceivedRequest downloadRequest;
+    fixture.servers[0].onRequest = [&](const Connection &connection, const ReceivedRequest &request) {
+        if (request.head.target.starts_with("/download")) {
+            download = connection;
+            downloadRequest = request;
+        } else {
+            connection->respond(request, 200, "ran");
+        }
+    };
+    const auto socket = fixture.connect();
+    std::string late = GatewayFixture::request("safe", "b");
+    late.replace(late.find("Left-Ms: 1000"), 13, "Left-Ms: 100");
+    asio::write(*socket, asio::buffer(GatewayFixture::request("download", "a") + late));
+    fixture.runUntil([&] { return download != nullptr; });
+    fixture.runFor(milliseconds(150));
+    download->respond(downloadRequest, 200, "whole");
+    std::string received;
+    socket->non_blocking(true);
+    fixture.runUntil([&] {
+        std::array<char, 4096> chunk{};
+        asio::error_code error; // no bytes yet
+        received.append(chunk.data(), socket->read_some(asio::buffer(chunk), error));
+        return received.find("HTTP/1.1", 1) != std::string::npos
+            && (received.ends_with("\n") || received.ends_with("ran"));
+    });
+    CHECK(received.starts_with("HTTP/1.1 200 "));
+    CHECK(received.find("\r\n\r\nwholeHTTP/1.1 503 ") != std::string::npos);
+    CHECK(received.ends_with("\r\n\r\nthe time passed before it was sent to a backend server\n"));
+    CHECK(receivedRequestCount(fixture) == 1);
+}
+
+// Guards against the same for a request that waited for the leader's token longer than it had time.
+TEST_CASE("a request whose time passed while it waited for a token is not sent to a server")
+{
+    GatewayFixture fixture(1);
+    fixture.declaration.mutable_customers(0)->set_rate(1);
+    fixture.declaration.mutable_customers(0)->set_burst(1);
+    fixture.publishView();
+    std::function<void(const proto::TakeTokensReply &)> sendTokenReply;
+    fixture.takeTokens = [&sendTokenReply](const auto &, auto done) { sendTokenReply = std::move(done); };
+    const auto socket = fixture.connect();
+    std::string bytes = GatewayFixture::request("safe", "a");
+    bytes.replace(bytes.find("Left-Ms: 1000"), 13, "Left-Ms: 50");
+    asio::write(*socket, asio::buffer(bytes));
+    fixture.runUntil([&] { return bool(sendTokenReply); });
+    fixture.runFor(milliseconds(80));
+    proto::TakeTokensReply reply;
+    reply.add_granted()->set_customer("cust");
+    reply.mutable_granted(0)->set_amount(1);
+    sendTokenReply(reply);
+    const auto response = fixture.receiveResponse(*socket);
+    CHECK(response.status() == 503);
+    CHECK(response.body == "the time passed before it was sent to a backend server\n");
+    CHECK_FALSE(response.header("Retry-After").empty());
+    CHECK(receivedRequestCount(fixture) == 0);
+}
+
 TEST_CASE("requests beyond the declared limits are rejected")
 {
     GatewayFixture fixture(1);
