Don't handle requests behind an aborted response

Callers that pipeline lost answers: while an aborted response waited behind an earlier one, further requests of its connection were still passed on, although the connection was sure to end with the aborted response. The new case of test_server fails before (the third request is handled) and passes now.

--- a/net/connection.cpp
+++ b/net/connection.cpp
@@ -334,7 +334,7 @@
 }
 
 // Requests are handled at once only if all of them allow it: when an earlier response closes the connection, the client
-// sends those behind it again.
+// sends those behind it again. An aborted response is sure to end it.
 bool Connection::mayHandle(const HttpHead &head) const
 {
     const auto &mayPipeline = m_owner->options().mayPipeline;
@@ -342,8 +342,9 @@
         return true;
     }
     return mayPipeline && mayPipeline(head)
-        && std::all_of(m_calls.begin(), m_calls.end(),
-                       [&mayPipeline](const auto &call) { return mayPipeline(call->request().head); });
+        && std::all_of(m_calls.begin(), m_calls.end(), [&mayPipeline](const auto &call) {
+               return !call->m_aborted && mayPipeline(call->request().head);
+           });
 }
 
 void Connection::handleReceived()
--- a/tests/test_server.cpp
+++ b/tests/test_server.cpp
@@ -317,6 +317,20 @@
     CHECK(fixture.disconnected == std::vector<std::string>{"/c"});
 }
 
+// Guards against requests that are passed on although an aborted response before them is sure to end the connection.
+TEST_CASE("a request behind an aborted response is not handled")
+{
+    PipelineFixture fixture;
+    fixture.send(get("/a") + get("/b"));
+    fixture.expectArrivals({"/a", "/b"});
+    fixture.calls["/b"]->abort();
+    fixture.send(get("/c"));
+    fixture.expectArrivals({"/a", "/b"});
+    fixture.calls["/a"]->respond(200, {}, "first");
+    bool reset = false;
+    CHECK(fixture.receiveUntilClosed(reset) == ok("first"));
+}
+
 // Guards against a response that the gateway logs as sent although no byte of it was sent.
 TEST_CASE("a whole response that is not sent because of an earlier one is logged")
 {
