Wait at a planned stop until each response has been written

Callers saw: a client that reads slowly lost the end of a response of the entry role during a planned stop; a body with a Content-Length ended early.

Cause: the exchange handed the last part of a response to RESTinio and ended at once, which ended its count of requests in flight. EntryHost::stop() saw no request in flight, stopped the server's io_context and so dropped the part, up to 256 KB, that was not in the socket's send buffer yet.

The client's receive buffer and segments are small, which keeps the host's send buffer small.

Change: the response writer keeps a token until the last byte is written or the connection is closed, and the exchange gives it its count. A request therefore also counts towards max_in_flight, the reported load and the gauge until its response is written. The count is an object of its own, as writes may outlast the server and must not keep the shared state and its io_context alive.

Look-ups and refusals outside of an exchange are not counted; they fit into the send buffer.

--- a/entry/exchange.cpp
+++ b/entry/exchange.cpp
@@ -40,8 +40,10 @@
 
 std::shared_ptr<void> countInFlight(const std::shared_ptr<RequestPathState> &shared)
 {
-    ++shared->inFlight;
-    return {shared.get(), [shared](void *) { --shared->inFlight; }};
+    // Holds the counter only: writes may outlast the server, and the shared state holds their io_context.
+    const auto inFlight = shared->inFlight;
+    ++*inFlight;
+    return {inFlight.get(), [inFlight](void *) { --*inFlight; }};
 }
 
 std::optional<std::uint32_t> parseMilliseconds(const std::string &text)
@@ -88,6 +90,7 @@
     , m_retryTimer(m_strand)
     , m_arrivalTime(Clock::now())
 {
+    m_response.holdUntilWritten(m_inFlight);
 }
 
 Exchange::~Exchange()
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -105,7 +105,7 @@
     };
 
     const std::shared_ptr<RequestPathState> m_shared;
-    const std::shared_ptr<void> m_inFlight; // counts this request until it has ended and its claim is settled
+    const std::shared_ptr<void> m_inFlight; // counts this request until its response is written and its claim settled
     Request m_request;
     ResponseWriter m_response;
     asio::strand<asio::io_context::executor_type> m_strand;
--- a/entry/host.cpp
+++ b/entry/host.cpp
@@ -185,7 +185,7 @@
     finished.wait_for(2 * leavingTimeout);
 }
 
-// Waits until no request is in flight or the deadline has passed.
+// Waits until all responses have been written and all claims settled, or the deadline has passed.
 void EntryHost::Private::drain(Time deadline)
 {
     while (path->inFlight() > 0 && Clock::now() < deadline) {
--- a/entry/path.cpp
+++ b/entry/path.cpp
@@ -38,7 +38,7 @@
         handleLookup(*m_shared, request, response);
     } else if (!request.target.starts_with("/s/")) {
         refuse(response, {404, "not_found", "this path does not exist", "use /s/SERVICE/PATH or /v1/lookup"}, "", "");
-    } else if (m_shared->inFlight >= m_shared->settings.max_in_flight()) {
+    } else if (*m_shared->inFlight >= m_shared->settings.max_in_flight()) {
         refuse(response,
                {503, "overloaded", "this host has reached its limit of concurrent requests",
                 "send the request to another entry host"},
@@ -50,7 +50,7 @@
 
 unsigned RequestPath::inFlight() const
 {
-    return m_shared->inFlight;
+    return *m_shared->inFlight;
 }
 
 } // namespace banyanledge
--- a/entry/path.h
+++ b/entry/path.h
@@ -67,7 +67,7 @@
     std::map<std::string, LinkUsage> links; // by resource
     Revision entryHostsRevision = 0; // of the table from which `entryHosts` was counted
     unsigned entryHosts = 0; // live ones, which share the link capacity reserved for short bodies
-    std::atomic<unsigned> inFlight = 0;
+    const std::shared_ptr<std::atomic<unsigned>> inFlight = std::make_shared<std::atomic<unsigned>>(0);
     ClientBlocks clientBlocks; // regions by client address; immutable after the start
     std::atomic<std::shared_ptr<const HostIndex>> hostIndex; // of the newest copy of the table that a look-up used
 };
@@ -83,7 +83,7 @@
     // Handles one client request; safe from any thread.
     void handle(Request request, ResponseWriter response);
 
-    // Number of requests that have not ended or whose claim has not been settled.
+    // Number of requests whose response has not been written completely or whose claim has not been settled.
     unsigned inFlight() const;
 
 private:
--- a/entry/server.cpp
+++ b/entry/server.cpp
@@ -69,7 +69,8 @@
         }
     }
 
-    // Queues bytes on the connection. RESTinio keeps the order of pipelined responses.
+    // Queues bytes on the connection; `written` is used for all but the last ones. RESTinio keeps the order of
+    // pipelined responses.
     void send(std::string data, bool last, bool close, std::function<void(bool)> written)
     {
         restinio::writable_items_container_t items;
@@ -77,7 +78,9 @@
             items.emplace_back(std::move(data));
         }
         restinio::write_group_t group(std::move(items));
-        if (written) {
+        if (last) {
+            group.after_write_notificator([token = std::move(heldUntilWritten)](const asio::error_code &) {});
+        } else if (written) {
             group.after_write_notificator(
                 [written = std::move(written)](const asio::error_code &error) { written(!error); });
         }
@@ -128,6 +131,7 @@
     std::string head; // not sent yet
     bool chunked = false;
     std::atomic<bool> ended = false;
+    std::shared_ptr<void> heldUntilWritten;
 
     std::mutex mutex; // guards the members below
     bool closed = false;
@@ -232,6 +236,11 @@
     disconnected();
 }
 
+void ResponseWriter::holdUntilWritten(std::shared_ptr<void> token)
+{
+    d->heldUntilWritten = std::move(token);
+}
+
 namespace
 {
 
--- a/entry/server.h
+++ b/entry/server.h
@@ -49,6 +49,9 @@
     // Registers a callback for a client that disconnects before the response is finished. It may run at once.
     void onDisconnect(std::function<void()> disconnected);
 
+    // Keeps the token until the last byte of the response has been written or the connection has been closed.
+    void holdUntilWritten(std::shared_ptr<void> token);
+
 private:
     std::shared_ptr<Private> d;
 };
--- a/tests/test_entry.cpp
+++ b/tests/test_entry.cpp
@@ -1,6 +1,8 @@
 // Tests of the request path against a scripted backend server.
 #include <catch2/catch.hpp>
 
+#include <netinet/tcp.h>
+
 #include "entry_fixture.h"
 
 using namespace banyanledge;
@@ -21,6 +23,44 @@
     return text.find(part) != std::string::npos;
 }
 
+// Client that reads only when told. Its small receive buffer and segments keep the entry host's send buffer small too.
+class SlowClient
+{
+public:
+    explicit SlowClient(std::uint16_t port)
+        : m_socket(m_context, asio::ip::tcp::v4())
+    {
+        m_socket.set_option(asio::socket_base::receive_buffer_size(4096));
+        m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_MAXSEG>(1000));
+        m_socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    }
+
+    void send(const std::string &bytes)
+    {
+        sendAll(m_socket, bytes);
+    }
+
+    // Reads until this many bytes have arrived in total, the connection ends or nothing arrives for 2 s; returns all
+    // bytes so far.
+    const std::string &readUpTo(std::size_t bytes)
+    {
+        const timeval timeout{2, 0};
+        ::setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+        ssize_t size = 1;
+        while (size > 0 && m_received.size() < bytes) {
+            std::array<char, 4096> part{};
+            size = ::recv(m_socket.native_handle(), part.data(), std::min(part.size(), bytes - m_received.size()), 0);
+            m_received.append(part.data(), static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+        }
+        return m_received;
+    }
+
+private:
+    asio::io_context m_context;
+    Socket m_socket;
+    std::string m_received;
+};
+
 } // namespace
 
 TEST_CASE("a request passes all steps and its slot is released once")
@@ -496,6 +536,39 @@
     CHECK_FALSE(client.receiveUntil("more"));
 }
 
+// Guards against a planned stop that ends while the last part of a response waits for a slow client (P11).
+TEST_CASE("a planned stop waits until a slow client has taken the whole response")
+{
+    constexpr std::size_t partSize = 16384;
+    constexpr std::size_t bodySize = 15 * partSize; // what the entry host buffers; the socket buffers take less
+    ScriptedServer server([&](const std::string &, Socket &socket) {
+        sendAll(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bodySize) + "\r\n\r\n");
+        for (std::size_t at = 0; at < bodySize; at += partSize) {
+            sendAll(socket, std::string(partSize, 'x'));
+            std::this_thread::sleep_for(milliseconds(2)); // in parts, so that most of them wait for the write of one
+        }
+        return true;
+    });
+    EntryFixture fixture({server.address()});
+    SlowClient client(fixture.port());
+    client.send(requestText("GET", "/s/lessons/film"));
+    REQUIRE(eventually([&] { return fixture.outcomes() == std::vector{proto::OUTCOME_OK}; }));
+    REQUIRE(fixture.path().inFlight() == 1);
+    std::thread stop([&] { // as EntryHost::stop() does
+        fixture.server().closeAfterResponses();
+        eventually([&] { return fixture.path().inFlight() == 0; });
+        fixture.server().stop();
+    });
+    std::size_t total = client.readUpTo(1024).size();
+    const std::size_t expected = client.readUpTo(0).find("\r\n\r\n") + 4 + bodySize;
+    for (std::size_t previous = 0; total > previous && total < expected;) {
+        std::this_thread::sleep_for(milliseconds(5));
+        previous = std::exchange(total, client.readUpTo(std::min(expected, total + 4096)).size());
+    }
+    stop.join();
+    CHECK(total == expected);
+}
+
 // With a long wait in a full region, the clients' latency grows although another region has free slots.
 TEST_CASE("a request queues only briefly in a region while another one is left")
 {
