Run no request behind one whose response closes the connection

Callers saw: two requests pipelined to an entry host at the end of a planned stop both ran, and the connection was closed after the first response. The second, also one that must not run twice, got no answer.

Cause: EntryServer decides for each request whether its response closes the connection, and RESTinio hands up to 4 pipelined requests on before the first response. The response to the first closes the connection of the others.

Change: the server keeps the connections that a response will close, and hands no further request of theirs on, until they are closed; this also holds after that response has been handed to RESTinio and is still being written. Such a request has not run and the client may send it again; it is logged and counted in banyanledge_unhandled_pipelined_requests_total. The same holds when the client itself asks to close the connection.

Not covered: requests behind a response that is cut, which also closes the connection.

--- a/entry/server.cpp
+++ b/entry/server.cpp
@@ -7,10 +7,12 @@
 #include <mutex>
 #include <thread>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "base/error.h"
 #include "base/log.h"
+#include "base/metrics.h"
 #include "entry/socket.h"
 
 namespace banyanledge
@@ -37,10 +39,13 @@
     return http_status_str(static_cast<http_status>(status));
 }
 
-// Requests in progress by connection, so that a closed connection cancels them.
+// Requests in progress by connection, so that a closed connection cancels them and none is handled behind one whose
+// response closes the connection.
 class ActiveRequests
 {
 public:
+    // False if the response to an earlier request closes the connection, so that this one can't be answered.
+    bool mayHandle(restinio::connection_id_t connection);
     void add(restinio::connection_id_t connection, const std::shared_ptr<ResponseWriter::Private> &response);
     void remove(restinio::connection_id_t connection, restinio::request_id_t request);
     void closed(restinio::connection_id_t connection);
@@ -52,8 +57,9 @@
         std::weak_ptr<ResponseWriter::Private> response;
     };
 
-    std::mutex m_mutex;
+    std::mutex m_mutex; // guards the members below
     std::unordered_map<restinio::connection_id_t, std::vector<ActiveRequest>> m_responses;
+    std::unordered_set<restinio::connection_id_t> m_closing; // connections that the response to a request will close
 };
 
 } // namespace
@@ -141,10 +147,19 @@
 namespace
 {
 
+bool ActiveRequests::mayHandle(restinio::connection_id_t connection)
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_closing.contains(connection);
+}
+
 void ActiveRequests::add(restinio::connection_id_t connection, const std::shared_ptr<ResponseWriter::Private> &response)
 {
     const std::lock_guard lock(m_mutex);
     m_responses[connection].push_back({response->request, response});
+    if (response->close) {
+        m_closing.insert(connection);
+    }
 }
 
 void ActiveRequests::remove(restinio::connection_id_t connection, restinio::request_id_t request)
@@ -165,6 +180,7 @@
     std::vector<ActiveRequest> entries;
     {
         const std::lock_guard lock(m_mutex);
+        m_closing.erase(connection);
         if (const auto found = m_responses.find(connection); found != m_responses.end()) {
             entries = std::move(found->second);
             m_responses.erase(found);
@@ -292,6 +308,14 @@
 
     restinio::request_handling_status_t handle(const restinio::request_handle_t &received)
     {
+        // The connection ends with the response to the earlier request; the client sends this one again.
+        if (!activeRequests->mayHandle(received->connection_id())) {
+            countMetric("banyanledge_unhandled_pipelined_requests_total");
+            logInfo("a pipelined request is not run; the response to the request before it closes the connection",
+                    {{"connection", std::to_string(received->connection_id())},
+                     {"request", std::to_string(received->request_id())}});
+            return restinio::request_accepted();
+        }
         auto response = std::make_shared<ResponseWriter::Private>();
         response->request = received->request_id();
         response->connection = received->connection_id();
--- a/entry/server.h
+++ b/entry/server.h
@@ -76,7 +76,7 @@
     // Stops listening, closes all connections and ends the threads.
     void stop();
 
-    // Closes each connection after its next response.
+    // Closes each connection after its next response. Requests that arrive behind that one are not handled.
     void closeAfterResponses();
 
     // Port in use, for tests that bind port 0.
--- a/tests/test_entry.cpp
+++ b/tests/test_entry.cpp
@@ -536,6 +536,28 @@
     CHECK_FALSE(client.receiveUntil("more"));
 }
 
+// Guards against a pipelined request that runs although the response before it closes the connection (P11).
+TEST_CASE("a leaving host runs no request behind one whose response closes the connection")
+{
+    ScriptedServer server([&](const std::string &, Socket &socket) {
+        std::this_thread::sleep_for(milliseconds(300)); // the second request arrives before the first response
+        sendAll(socket, okResponse("hello"));
+        return true;
+    });
+    EntryFixture fixture({server.address()});
+    TestClient client(fixture.port());
+    fixture.server().closeAfterResponses();
+    client.send(requestText("POST", "/s/lessons/a", {}, "a") + requestText("POST", "/s/lessons/b", {}, "b"));
+    std::size_t answers = 0;
+    for (bool complete = true; complete; answers += complete ? 1 : 0) {
+        const auto response = client.receive(&complete);
+        CHECK((!complete || contains(response, "Connection: close")));
+    }
+    CHECK(answers == 1);
+    CHECK(server.requests().size() == answers);
+    CHECK(fixture.claims().size() == answers);
+}
+
 // Guards against a planned stop that ends while the last part of a response waits for a slow client (P11).
 TEST_CASE("a planned stop waits until a slow client has taken the whole response")
 {
