Ignore a Held reply that belongs to an earlier pool of the resource

Callers saw (by reading, not observed in a run of the system): a slot of a backend server could be granted twice after a host lost and regained a pool within the time-out of a Held call (500 ms), for instance when its threads had stalled.

Cause: a Held reply was matched by resource and host only. A late reply to a call of the earlier pool removed the host from those that its successor waits for, and so ended the recovery. The reply to the successor's own call, with the leases that the interim owner had granted, was then dropped.

Change: each pool has a number, and the callback of a Held call compares it.

--- a/fleet/slotservice.h
+++ b/fleet/slotservice.h
@@ -107,6 +107,7 @@
         Time nextQueryAt;
         bool unknownHolders = false; // hosts that are gone may still use slots
         std::map<std::string, std::uint32_t> failedProbes; // in a row, by server
+        std::uint64_t number = 0; // unique on this host; differs from that of an earlier pool of the same resource
     };
     // State of a pool that its former owner handed over to this host.
     struct ReceivedHandover
@@ -144,7 +145,8 @@
     void startRecovery(const std::string &resource, OwnedPool &pool, Time now, DeferredActions &deferred);
     void createOwnedPools(Time now, DeferredActions &deferred);
     void queryHeldLeases(const std::string &resource, OwnedPool &pool, Time now, DeferredActions &deferred);
-    void handleHeldReply(const std::string &resource, const HostIncarnation &host, const proto::HeldReply *reply);
+    void handleHeldReply(const std::string &resource, std::uint64_t poolNumber, const HostIncarnation &host,
+                         const proto::HeldReply *reply);
     void removeStoppedHosts(OwnedPool &pool, Time now);
     void finishRecoveryIfComplete(OwnedPool &pool, Time now);
     void deliverDecisions(OwnedPool &pool, Time now, DeferredActions &deferred);
@@ -167,6 +169,7 @@
     std::map<std::string, std::uint64_t> m_heldReplyCounts; // Held calls that this host answered, by pool
     std::vector<std::pair<std::string, std::string>> m_poolNames; // service and region of each pool in the table
     std::map<std::string, OwnedPool> m_pools; // owned by this host
+    std::uint64_t m_createdPools = 0;
     std::map<std::string, ReceivedHandover> m_receivedHandovers; // by pool
     std::map<std::string, Revision> m_lostRevisions; // revision at which this host last gave a pool up
 };
--- a/fleet/slotservice_owner.cpp
+++ b/fleet/slotservice_owner.cpp
@@ -171,7 +171,9 @@
                                                 const std::string &region, Time now, DeferredActions &deferred)
 {
     OwnedPool &pool =
-        m_pools.emplace(resource, OwnedPool{service, region, Pool(randomId(), now), {}, {}, now, false, {}})
+        m_pools
+            .emplace(resource,
+                     OwnedPool{service, region, Pool(randomId(), now), {}, {}, now, false, {}, ++m_createdPools})
             .first->second;
     pool.pool.setServers(serversFor(service, region), now);
     if (handoverSource(resource, now)) {
@@ -225,21 +227,24 @@
             continue;
         }
         callOutstanding = true;
-        deferred.push_back([this, resource, request, host = host, address = m_owners.address(host)] {
-            m_ownerClient.held(address, request, heldTimeout, [this, resource, host](const proto::HeldReply *reply) {
-                const std::lock_guard lock(m_mutex);
-                handleHeldReply(resource, host, reply);
+        deferred.push_back(
+            [this, resource, number = pool.number, request, host = host, address = m_owners.address(host)] {
+                m_ownerClient.held(address, request, heldTimeout,
+                                   [this, resource, number, host](const proto::HeldReply *reply) {
+                                       const std::lock_guard lock(m_mutex);
+                                       handleHeldReply(resource, number, host, reply);
+                                   });
             });
-        });
     }
 }
 
-void SlotService::handleHeldReply(const std::string &resource, const HostIncarnation &host,
+// A reply to an earlier pool of the resource is ignored: it lacks the leases that another owner granted since.
+void SlotService::handleHeldReply(const std::string &resource, std::uint64_t poolNumber, const HostIncarnation &host,
                                   const proto::HeldReply *reply)
 {
     const Time now = Clock::now();
     const auto found = m_pools.find(resource);
-    if (found == m_pools.end() || !found->second.pendingHosts.contains(host)) {
+    if (found == m_pools.end() || found->second.number != poolNumber || !found->second.pendingHosts.contains(host)) {
         return;
     }
     OwnedPool &pool = found->second;
--- a/tests/test_owners.cpp
+++ b/tests/test_owners.cpp
@@ -353,7 +353,7 @@
     std::vector<Time> m_grantTimes;
 };
 
-// Owner service whose Acquire calls wait until the test answers them.
+// Owner service whose Acquire and Held calls wait until the test answers them.
 class ManualOwner final : public proto::Owner::CallbackService
 {
 public:
@@ -399,11 +399,55 @@
         reactor->Finish(grpc::Status::OK);
     }
 
+    grpc::ServerUnaryReactor *Held(grpc::CallbackServerContext *context, const proto::HeldRequest * /*request*/,
+                                   proto::HeldReply *reply) override
+    {
+        const std::lock_guard lock(m_mutex);
+        grpc::ServerUnaryReactor *reactor = context->DefaultReactor();
+        if (m_heldReply) {
+            *reply = *m_heldReply;
+            reactor->Finish(grpc::Status::OK);
+        } else {
+            m_heldCalls.emplace_back(reactor, reply);
+            m_called.notify_all();
+        }
+        return reactor;
+    }
+
+    // Waits until so many Held calls are outstanding.
+    void waitForHeldCalls(std::size_t count)
+    {
+        std::unique_lock lock(m_mutex);
+        REQUIRE(m_called.wait_for(lock, milliseconds{10000}, [&] { return m_heldCalls.size() >= count; }));
+    }
+
+    void answerOldestHeldCall(const proto::HeldReply &answer)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto [reactor, reply] = m_heldCalls.front();
+        m_heldCalls.erase(m_heldCalls.begin());
+        *reply = answer;
+        reactor->Finish(grpc::Status::OK);
+    }
+
+    // Answers the outstanding Held calls and all later ones.
+    void answerHeldCalls(const proto::HeldReply &answer)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_heldReply = answer;
+        for (const auto &[reactor, reply] : std::exchange(m_heldCalls, {})) {
+            *reply = answer;
+            reactor->Finish(grpc::Status::OK);
+        }
+    }
+
     std::string address;
 
 private:
     std::mutex m_mutex;
     std::condition_variable m_called;
+    std::optional<proto::HeldReply> m_heldReply; // to all further calls; unset while they wait
+    std::vector<std::pair<grpc::ServerUnaryReactor *, proto::HeldReply *>> m_heldCalls;
     std::vector<std::pair<grpc::ServerUnaryReactor *, proto::AcquireReply *>> m_calls;
     std::unique_ptr<grpc::Server> m_server;
 };
@@ -548,6 +592,61 @@
     CHECK(reply.wait().id == 78);
 }
 
+// Guards against a Held reply to an earlier pool of this host that ends the recovery of its successor.
+TEST_CASE("a late reply about held leases does not count for a pool that was lost and regained")
+{
+    ManualOwner holder;
+    TestHost host("h0", 100);
+    proto::TableContent table = initialTable();
+    std::map<std::string, proto::Member> members{{"h0", host.self}};
+    const auto addMember = [&](const std::string &prefix, const std::string &rpcAddress, bool owner) {
+        proto::Member member = host.self;
+        member.set_rpc_address(rpcAddress);
+        std::map<std::string, proto::Member> next;
+        int number = 0;
+        do { // finds an id that makes it the owner, or leaves h0 the owner
+            member.set_id(prefix + std::to_string(++number));
+            next = members;
+            next[member.id()] = member;
+        } while ((ownerOf(pool, next)->id == member.id()) != owner);
+        members = next;
+        return member;
+    };
+    *table.add_members() = host.self;
+    const proto::Member holderMember = addMember("f", holder.address, false);
+    *table.add_members() = holderMember;
+    host.applyTable(table);
+    holder.waitForHeldCalls(1);
+
+    proto::Member *interimOwner = table.add_members();
+    *interimOwner = addMember("g", "127.0.0.1:1", true);
+    table.set_revision(2);
+    host.applyTable(table);
+    interimOwner->set_incarnation(101); // restarts and is no entry host any more
+    interimOwner->set_entry(false);
+    interimOwner->set_stopped(true);
+    table.set_revision(3);
+    host.applyTable(table);
+    holder.waitForHeldCalls(2);
+
+    proto::HeldReply reply;
+    reply.set_incarnation(holderMember.incarnation());
+    holder.answerOldestHeldCall(reply);
+    CHECK(acquireSlot(host, milliseconds{100}).kind != proto::ERROR_NONE);
+    for (int i = 0; i < 5; ++i) { // of the 6 slots, granted by the interim owner
+        proto::HeldLease *lease = reply.add_leases();
+        lease->set_lease_id(1000 + i);
+        lease->set_server(i < 3 ? "s0" : "s1");
+        lease->set_customer("school");
+        lease->set_host(holderMember.id());
+        lease->set_incarnation(holderMember.incarnation());
+        lease->set_remaining_ms(20000);
+    }
+    holder.answerHeldCalls(reply);
+    CHECK(acquireSlot(host, milliseconds{5000}).server == "s1");
+    CHECK(acquireSlot(host, milliseconds{100}).kind != proto::ERROR_NONE);
+}
+
 TEST_CASE("an owner without a fresh table grants nothing")
 {
     Fleet fleet(2);
