--- a/control/blocks.cpp
+++ b/control/blocks.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t maxSuspects = 4096;
 
 // Suspects in a reply, and the crashes in sequence from which on a request is one.
-constexpr int maxSuspectsInReply = 32;
+constexpr std::size_t maxSuspectsInReply = 32;
 constexpr unsigned crashesOfSuspect = 2;
 
 // Time for which a host that refused a blocked request is chosen for its trial.
@@ -28,10 +28,14 @@
     return std::min<Duration>(longestTrialDelay, firstTrialDelay * (1 << std::min(trials, maxDoublings)));
 }
 
-proto::Command blockCommand(const proto::BlockedRequest &request)
+// Time for which all hosts are told that a request's crashes don't count, after a host has reported one.
+constexpr milliseconds clearedLifetime{3000};
+
+proto::Command blockCommand(const proto::BlockedRequest &request, Revision expectedRevision)
 {
     proto::Command command = systemCommand();
     *command.mutable_block_request()->mutable_request() = request;
+    command.mutable_block_request()->set_expected_revision(expectedRevision);
     return command;
 }
 
@@ -42,6 +46,15 @@
     return command;
 }
 
+RequestCrash receivedCrash(const proto::CrashReport &report, Time now)
+{
+    return {report.server(),
+            now - milliseconds(report.started_age_ms()),
+            now - milliseconds(report.ended_age_ms()),
+            now - milliseconds(report.last_ended_age_ms()),
+            {report.id()}};
+}
+
 } // namespace
 
 RequestBlocks::RequestBlocks()
@@ -58,12 +71,12 @@
             m_evidence.recordSuccess(report.id(), now - milliseconds(report.succeeded_age_ms()), now);
         }
         for (const auto &crash : report.crashes()) {
-            m_evidence.recordCrash(report.id(), description,
-                                   {crash.server(),
-                                    now - milliseconds(crash.started_age_ms()),
-                                    now - milliseconds(crash.ended_age_ms()),
-                                    {crash.id()}},
-                                   now);
+            m_evidence.recordCrash(report.id(), description, receivedCrash(crash, now), now);
+        }
+        const auto found = m_evidence.suspects().find(report.id());
+        const bool isCleared = found != m_evidence.suspects().end() && found->second.crashes.empty();
+        if (isCleared && report.crashes_size() > 0) {
+            m_cleared[report.id()] = now;
         }
     }
     for (const std::string &fingerprint : request.refused_blocked()) {
@@ -73,14 +86,27 @@
     }
 }
 
-void RequestBlocks::addSuspects(proto::SyncReply &reply) const
+void RequestBlocks::addSuspects(proto::SyncReply &reply, Time now) const
 {
+    std::vector<std::pair<unsigned, std::string>> suspects;
     for (const auto &[fingerprint, suspect] : m_evidence.suspects()) {
-        if (reply.suspects_size() >= maxSuspectsInReply) {
-            return;
+        const unsigned crashes = crashesInSequence(suspect.crashes);
+        if (!m_blocks.contains(fingerprint) && crashes >= crashesOfSuspect) {
+            suspects.emplace_back(crashes, fingerprint);
         }
-        if (!m_blocks.contains(fingerprint) && crashesInSequence(suspect.crashes) >= crashesOfSuspect) {
-            reply.add_suspects(fingerprint);
+    }
+    std::sort(suspects.rbegin(), suspects.rend());
+    suspects.resize(std::min(suspects.size(), maxSuspectsInReply));
+    for (const auto &[crashes, fingerprint] : suspects) {
+        reply.add_suspects(fingerprint);
+    }
+    for (const auto &[fingerprint, reported] : m_cleared) {
+        const auto found = m_evidence.suspects().find(fingerprint);
+        if (now < reported + clearedLifetime && found != m_evidence.suspects().end()) {
+            const auto age = std::chrono::duration_cast<milliseconds>(now - found->second.succeeded);
+            auto *cleared = reply.add_cleared();
+            cleared->set_id(fingerprint);
+            cleared->set_succeeded_age_ms(static_cast<std::uint32_t>(age.count()));
         }
     }
 }
@@ -88,6 +114,7 @@
 std::vector<proto::Command> RequestBlocks::commands(const TableObjects &objects, std::int64_t wallClockMs, Time now)
 {
     m_evidence.removeExpired(now);
+    std::erase_if(m_cleared, [now](const auto &entry) { return now >= entry.second + clearedLifetime; });
     updateBlocks(objects, now);
     std::vector<proto::Command> result;
     for (const auto &part : {newBlocks(objects, wallClockMs, now), nextTrials(objects, now), successes()}) {
@@ -104,11 +131,14 @@
         if (unblocked) {
             m_evidence.remove(entry.first);
             m_refusals.erase(entry.first);
+            m_lastCrashes.erase(entry.first);
         }
         return unblocked;
     });
     for (const auto &[fingerprint, request] : objects.blockedRequests) {
-        const auto [block, added] = m_blocks.try_emplace(fingerprint, Block{now, now, request.trials()});
+        const auto lastCrash = m_lastCrashes.find(fingerprint);
+        const Time since = lastCrash == m_lastCrashes.end() ? now : lastCrash->second;
+        const auto [block, added] = m_blocks.try_emplace(fingerprint, Block{since, now, request.trials()});
         if (block->second.trials != request.trials()) {
             block->second.trialsChanged = now;
             block->second.trials = request.trials();
@@ -116,8 +146,7 @@
     }
 }
 
-std::vector<proto::Command> RequestBlocks::newBlocks(const TableObjects &objects, std::int64_t wallClockMs,
-                                                     Time now) const
+std::vector<proto::Command> RequestBlocks::newBlocks(const TableObjects &objects, std::int64_t wallClockMs, Time now)
 {
     std::set<std::string> blocked;
     for (const auto &[fingerprint, block] : m_blocks) {
@@ -150,7 +179,8 @@
         request.set_path(suspect.description.path);
         request.set_crashes(crashes);
         request.set_blocked_at_ms(wallClockMs);
-        result.push_back(blockCommand(request));
+        result.push_back(blockCommand(request, 0));
+        m_lastCrashes[fingerprint] = suspect.crashes.back().lastEnded;
     }
     return result;
 }
@@ -165,7 +195,7 @@
         if (!request.trial_host().empty()) {
             if (now >= block.trialsChanged + trialTime) {
                 next.clear_trial_host();
-                result.push_back(blockCommand(next));
+                result.push_back(blockCommand(next, request.revision()));
             }
             continue;
         }
@@ -178,7 +208,7 @@
                      {"on", refusal->second.host}});
             next.set_trials(request.trials() + 1);
             next.set_trial_host(refusal->second.host);
-            result.push_back(blockCommand(next));
+            result.push_back(blockCommand(next, request.revision()));
         }
     }
     return result;
@@ -189,7 +219,7 @@
     std::vector<proto::Command> result;
     for (const auto &[fingerprint, block] : m_blocks) {
         const auto suspect = m_evidence.suspects().find(fingerprint);
-        if (suspect != m_evidence.suspects().end() && suspect->second.succeeded > block.seen) {
+        if (suspect != m_evidence.suspects().end() && suspect->second.succeeded > block.since) {
             logInfo("unblocking a request, because a backend server completed it", {{"fingerprint", fingerprint}});
             result.push_back(unblockCommand(fingerprint));
         }
--- a/control/blocks.h
+++ b/control/blocks.h
@@ -29,8 +29,8 @@
     // Records the evidence of a Sync call.
     void recordReport(const proto::SyncRequest &request, Time now);
 
-    // Adds the requests whose success all hosts shall report.
-    void addSuspects(proto::SyncReply &reply) const;
+    // Adds the requests whose success all hosts shall report, and those whose crashes they shall forget.
+    void addSuspects(proto::SyncReply &reply, Time now) const;
 
     // Commands that block requests with enough evidence, unblock those that succeeded, and begin and end trials.
     // `wallClockMs` is recorded as the time of the blocking.
@@ -40,13 +40,13 @@
     // What the leader of this term knows about a blocked request.
     struct Block
     {
-        Time seen{}; // in the table since then
+        Time since{}; // a later success unblocks it: its last crash, or when this leader saw it in the table first
         Time trialsChanged{};
         unsigned trials = 0; // of the request in the table
     };
 
     void updateBlocks(const TableObjects &objects, Time now);
-    std::vector<proto::Command> newBlocks(const TableObjects &objects, std::int64_t wallClockMs, Time now) const;
+    std::vector<proto::Command> newBlocks(const TableObjects &objects, std::int64_t wallClockMs, Time now);
     std::vector<proto::Command> nextTrials(const TableObjects &objects, Time now) const;
     std::vector<proto::Command> successes() const;
 
@@ -59,6 +59,8 @@
         Time reported{};
     };
     std::map<std::string, Refusal> m_refusals; // last one, by fingerprint
+    std::map<std::string, Time> m_lastCrashes; // of the requests that this leader blocked
+    std::map<std::string, Time> m_cleared; // when a host last reported a crash before a success
 };
 
 } // namespace banyanledge
--- a/control/sync.cpp
+++ b/control/sync.cpp
@@ -244,7 +244,7 @@
         *part.add_busy_hosts() = load;
     }
     m_serverLoads.addTotals(part, now);
-    m_requestBlocks.addSuspects(part);
+    m_requestBlocks.addSuspects(part, now);
     for (const auto &member : m_status.config().members()) {
         part.add_control_hosts(member.rpc_address());
     }
--- a/decide/crashevidence.cpp
+++ b/decide/crashevidence.cpp
@@ -19,9 +19,6 @@
 // to start again, longer than the delays between the reports of the hosts.
 constexpr milliseconds sameCrashWindow{500};
 
-// Time for which a success is kept, so that it can be reported.
-constexpr milliseconds successLifetime{10000};
-
 bool isSameCrash(const RequestCrash &a, const RequestCrash &b)
 {
     return a.server == b.server && std::chrono::abs(a.ended - b.ended) < sameCrashWindow;
@@ -32,9 +29,9 @@
     return a.ended < b.ended;
 }
 
-bool wasReported(const Crashes &crashes, const std::vector<std::uint32_t> &reports)
+Crashes::iterator findReported(Crashes &crashes, const std::vector<std::uint32_t> &reports)
 {
-    return std::any_of(crashes.begin(), crashes.end(), [&reports](const RequestCrash &crash) {
+    return std::find_if(crashes.begin(), crashes.end(), [&reports](const RequestCrash &crash) {
         return std::find_first_of(crash.reports.begin(), crash.reports.end(), reports.begin(), reports.end())
             != crash.reports.end();
     });
@@ -49,7 +46,7 @@
             crashes.erase(crash);
             return;
         }
-        lastEnd = crash->ended;
+        lastEnd = crash->lastEnded;
     }
     crashes.erase(crashes.begin());
 }
@@ -58,6 +55,7 @@
 {
     crash.started = std::max(crash.started, added.started);
     crash.ended = std::min(crash.ended, added.ended);
+    crash.lastEnded = std::max(crash.lastEnded, added.lastEnded);
     if (crash.reports.size() < maxReports) {
         crash.reports.insert(crash.reports.end(), added.reports.begin(), added.reports.end());
     }
@@ -74,16 +72,6 @@
     return result;
 }
 
-// Whether another candidate is as strong, and only by the same crashes.
-bool isInDoubt(const std::map<std::string, Crashes> &candidates, const std::string &strongest)
-{
-    const Crashes &crashes = candidates.at(strongest);
-    return std::any_of(candidates.begin(), candidates.end(), [&strongest, &crashes](const auto &other) {
-        return other.first != strongest && crashesInSequence(other.second) == crashesInSequence(crashes)
-            && crashesInSequence(unexplained(other.second, crashes)) < crashesToBlock;
-    });
-}
-
 // Crashes that ended at least evidenceDelay ago.
 Crashes settled(Crashes crashes, Time now)
 {
@@ -101,7 +89,7 @@
     for (const RequestCrash &crash : crashes) {
         if (crash.started >= lastEnd) {
             ++count;
-            lastEnd = crash.ended;
+            lastEnd = crash.lastEnded;
         }
     }
     return count;
@@ -135,7 +123,15 @@
 {
     Suspect &known = suspect(fingerprint);
     known.description = description;
-    if (wasReported(known.crashes, crash.reports) || crash.ended <= known.succeeded) {
+    const auto reported = findReported(known.crashes, crash.reports);
+    if (reported != known.crashes.end()) {
+        // A repeated report that was shorter on its way has the better times.
+        if (reported->reports != crash.reports || crash.ended >= reported->ended) {
+            return;
+        }
+        known.crashes.erase(reported);
+    }
+    if (crash.ended <= known.succeeded) {
         return;
     }
     const auto same = std::find_if(known.crashes.begin(), known.crashes.end(),
@@ -168,7 +164,7 @@
     for (auto next = m_suspects.begin(); next != m_suspects.end();) {
         Suspect &known = next->second;
         std::erase_if(known.crashes, [now](const RequestCrash &crash) { return now >= crash.ended + crashLifetime; });
-        const bool expired = known.crashes.empty() && now >= known.succeeded + successLifetime;
+        const bool expired = known.crashes.empty() && now >= known.succeeded + crashLifetime;
         next = expired ? m_suspects.erase(next) : std::next(next);
     }
 }
@@ -178,40 +174,60 @@
     m_suspects.erase(fingerprint);
 }
 
-// Blocked requests explain their crashes first, then the request with the most crashes that are left, and so on. While
-// several requests explain the same crashes equally well, the next crash is waited for.
-std::vector<std::string> CrashEvidence::culprits(const std::set<std::string> &blocked, Time now) const
+// The crashes of each request that is not blocked, without those that a blocked one explains; only requests with
+// several.
+std::map<std::string, Crashes> CrashEvidence::countedCrashes(const std::set<std::string> &blocked) const
 {
     Crashes explained;
-    std::map<std::string, Crashes> candidates;
+    for (const std::string &fingerprint : blocked) {
+        const auto found = m_suspects.find(fingerprint);
+        if (found != m_suspects.end()) {
+            explained.insert(explained.end(), found->second.crashes.begin(), found->second.crashes.end());
+        }
+    }
+    std::map<std::string, Crashes> result;
     for (const auto &[fingerprint, known] : m_suspects) {
-        if (blocked.contains(fingerprint)) {
-            explained.insert(explained.end(), known.crashes.begin(), known.crashes.end());
-        } else if (crashesInSequence(known.crashes) >= crashesToBlock) {
-            candidates[fingerprint] = settled(known.crashes, now);
+        if (!blocked.contains(fingerprint) && known.crashes.size() > 1) {
+            result[fingerprint] = unexplained(known.crashes, explained);
         }
     }
+    std::erase_if(result, [](const auto &entry) { return crashesInSequence(entry.second) < 2; });
+    return result;
+}
+
+// The request with the most crashes explains them, then the one with the most of those that are left, and so on.
+// Crashes that are not settled count for the comparison, so that a report that is later by some ms doesn't decide it.
+std::vector<std::string> CrashEvidence::culprits(const std::set<std::string> &blocked, Time now) const
+{
+    std::map<std::string, Crashes> candidates = countedCrashes(blocked);
     std::vector<std::string> result;
     while (!candidates.empty()) {
-        auto strongest = candidates.begin();
-        auto most = std::make_pair(0U, std::size_t(0));
-        for (auto candidate = candidates.begin(); candidate != candidates.end(); ++candidate) {
-            candidate->second = unexplained(candidate->second, explained);
-            const auto count = std::make_pair(crashesInSequence(candidate->second), candidate->second.size());
-            if (count > most) {
-                most = count;
-                strongest = candidate;
-            }
-        }
-        if (most.first < crashesToBlock) {
+        const auto strongest = std::max_element(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
+            return crashesInSequence(a.second) < crashesInSequence(b.second);
+        });
+        if (crashesInSequence(strongest->second) < crashesToBlock) {
             break;
         }
-        if (most.first >= crashesToBlockInDoubt || !isInDoubt(candidates, strongest->first)) {
-            result.push_back(strongest->first);
-        }
-        const Crashes &all = m_suspects.at(strongest->first).crashes;
-        explained.insert(explained.end(), all.begin(), all.end());
+        const auto [fingerprint, crashes] = *strongest;
         candidates.erase(strongest);
+        Crashes ofOthers;
+        for (const auto &[other, otherCrashes] : candidates) {
+            ofOthers.insert(ofOthers.end(), otherCrashes.begin(), otherCrashes.end());
+        }
+        const bool inDoubt = unexplained(crashes, ofOthers).empty();
+        const unsigned count = crashesInSequence(settled(crashes, now));
+        const bool blocks = count >= (inDoubt ? crashesToBlockInDoubt : crashesToBlock);
+        if (blocks) {
+            result.push_back(fingerprint);
+        }
+        for (auto &[other, otherCrashes] : candidates) {
+            const Crashes left = unexplained(otherCrashes, crashes);
+            const bool wasCandidate = crashesInSequence(otherCrashes) >= crashesToBlock;
+            if (inDoubt && blocks && wasCandidate && crashesInSequence(left) < crashesToBlock) {
+                result.push_back(other);
+            }
+            otherCrashes = left;
+        }
     }
     return result;
 }
--- a/decide/crashevidence.h
+++ b/decide/crashevidence.h
@@ -1,10 +1,11 @@
 // Evidence that a request crashes the backend servers that run it.
 //
 // A crash takes along every request that the server was running, so one crash says little about a request:
-// - Crashes count one after the other: one counts only if an attempt of the request began after the crash that was
-//   counted before. A popular request that runs on many servers when these crash together counts one crash.
+// - Crashes count one after the other: one counts only if an attempt of the request began after all attempts that ended
+//   with the crash counted before. A popular request that runs on many servers when these crash together counts one.
 // - A crash counts against one request only: against the one with the most crashes that was running there. Requests for
 //   the same object follow each other from server to server, so others may have been running in several crashes too.
+//   While others explain all crashes of a request, it is in doubt, and further crashes decide.
 // - A complete response shows that the request does not crash servers, and earlier crashes don't count any more.
 #pragma once
 
@@ -22,7 +23,8 @@
 // Crashes one after the other, with which a request is blocked.
 constexpr unsigned crashesToBlock = 3;
 
-// Crashes one after the other, with which a request is blocked although another one was running in all of them too.
+// Crashes one after the other, with which a request is blocked although others explain them too, and those others with
+// it.
 constexpr unsigned crashesToBlockInDoubt = 5;
 
 // Time from a crash until it counts, in which all hosts report what was running on the server.
@@ -48,6 +50,7 @@
     std::uint32_t server = 0; // hash of its id
     Time started{}; // of the attempt that began last
     Time ended{}; // of the attempt that ended first
+    Time lastEnded{}; // of the attempt that ended last
     std::vector<std::uint32_t> reports; // random ids of the reports of this crash, so that none is counted twice
 };
 
@@ -76,7 +79,7 @@
     // Records a complete response that ended at `succeeded`.
     void recordSuccess(const std::string &fingerprint, Time succeeded, Time now);
 
-    // Drops crashes older than crashLifetime, and requests of which neither a crash nor a recent success is known.
+    // Drops crashes and successes older than crashLifetime, and requests of which neither is known.
     void removeExpired(Time now);
 
     void remove(const std::string &fingerprint);
@@ -88,6 +91,7 @@
 
 private:
     Suspect &suspect(const std::string &fingerprint);
+    std::map<std::string, std::vector<RequestCrash>> countedCrashes(const std::set<std::string> &blocked) const;
 
     std::size_t m_maxRequests;
     std::map<std::string, Suspect> m_suspects;
--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -71,7 +71,7 @@
 void ForwardedRequest::tryNextServer()
 {
     const Time now = Clock::now();
-    if (!mayBeSent(now)) {
+    if (isBlocked(now)) {
         rejectBlocked();
         return;
     }
@@ -94,6 +94,7 @@
     Target target;
     const PlacementStatus status = m_state.chooseServer(query, now, target);
     if (status == PlacementStatus::Chosen) {
+        recordSending();
         sendTo(target);
     } else {
         giveUp(status == PlacementStatus::Full ? "all backend servers are at capacity"
@@ -258,6 +259,7 @@
         retryOrGiveUp(true, "server " + attempt.target.server->id + ": " + reason);
         return;
     }
+    recordSurvival(attempt, now);
     if (attempt.failed) {
         recordFailure(attempt.target, "status " + std::to_string(attempt.head.status), now);
         const bool isSigned =
@@ -272,9 +274,6 @@
         return;
     }
     recordSuccess(attempt.target, now);
-    if (m_state.blocker.knowsTarget(m_call->request().head.target)) {
-        m_state.blocker.recordSuccess(fingerprint(), now);
-    }
     if (m_streaming) {
         m_call->write(std::move(attempt.body));
         m_call->end();
--- a/gateway/blocker.cpp
+++ b/gateway/blocker.cpp
@@ -21,18 +21,22 @@
 constexpr std::size_t maxStrongestReported = 4;
 constexpr std::size_t maxNewestReported = 4;
 constexpr std::size_t maxOthersReported = 2;
+constexpr std::size_t maxBlockedReported = 2;
 
 // Time for which evidence counts as new.
 constexpr milliseconds newestLifetime{5000};
 
 // Time since the last reply of the leader after which this host decides by itself.
-constexpr milliseconds contactTimeout{1500};
+constexpr milliseconds contactTimeout{2000};
 
-// Blocked requests whose refusal is reported at a time.
-constexpr std::size_t maxRefusalsReported = 8;
+// A longer gap between two reports is a pause of this process, in which it could not hear the leader.
+constexpr milliseconds pauseThreshold{500};
 
-// Time for which the refusal of a blocked request is reported.
-constexpr milliseconds refusalLifetime{5000};
+// Blocked requests whose rejection is reported at a time.
+constexpr std::size_t maxRejectionsReported = 8;
+
+// Time for which the rejection of a blocked request is reported.
+constexpr milliseconds rejectionLifetime{5000};
 
 using SuspectEntry = std::pair<const std::string, Suspect>;
 
@@ -56,6 +60,7 @@
         reported->set_server(crash.server);
         reported->set_started_age_ms(ageMs(crash.started, now));
         reported->set_ended_age_ms(ageMs(crash.ended, now));
+        reported->set_last_ended_age_ms(ageMs(crash.lastEnded, now));
     }
     if (suspect.succeeded != Time{}) {
         report->set_succeeded_age_ms(ageMs(suspect.succeeded, now));
@@ -64,6 +69,11 @@
 
 using SuspectEntries = std::vector<const SuspectEntry *>;
 
+bool isNewer(const SuspectEntry *a, const SuspectEntry *b)
+{
+    return a->second.changed > b->second.changed;
+}
+
 // The end of up to `limit` entries from `first` on that satisfy the condition.
 template<typename Condition>
 SuspectEntries::iterator endOf(SuspectEntries &entries, SuspectEntries::iterator first, std::size_t limit,
@@ -81,8 +91,7 @@
               [&strength](const SuspectEntry *a, const SuspectEntry *b) { return strength(a) > strength(b); });
     const auto newest = endOf(entries, entries.begin(), maxStrongestReported,
                               [&strength](const SuspectEntry *entry) { return strength(entry) > 1; });
-    std::sort(newest, entries.end(),
-              [](const SuspectEntry *a, const SuspectEntry *b) { return a->second.changed > b->second.changed; });
+    std::sort(newest, entries.end(), isNewer);
     const auto others = endOf(entries, newest, maxNewestReported, [now](const SuspectEntry *entry) {
         return now < entry->second.changed + newestLifetime;
     });
@@ -125,11 +134,17 @@
     updatePrefixes();
 }
 
-void RequestBlocker::setSuspects(std::set<std::string> fingerprints, Time now)
+void RequestBlocker::applyReply(const proto::SyncReply &reply, Time now)
 {
     m_lastReply = now;
-    if (fingerprints != m_suspects) {
-        m_suspects = std::move(fingerprints);
+    for (const auto &cleared : reply.cleared()) {
+        if (m_evidence.suspects().contains(cleared.id())) {
+            m_evidence.recordSuccess(cleared.id(), now - milliseconds(cleared.succeeded_age_ms()), now);
+        }
+    }
+    std::set<std::string> watched(reply.suspects().begin(), reply.suspects().end());
+    if (watched != m_watched) {
+        m_watched = std::move(watched);
         updatePrefixes();
     }
 }
@@ -139,6 +154,15 @@
     return !m_prefixes.empty() && m_prefixes.contains(fingerprintPrefix(target));
 }
 
+std::set<std::string> RequestBlocker::blockedFingerprints() const
+{
+    std::set<std::string> result;
+    for (const auto &[fingerprint, request] : m_blocked) {
+        result.insert(fingerprint);
+    }
+    return result;
+}
+
 bool RequestBlocker::hasTrial(const proto::BlockedRequest &request) const
 {
     if (request.trial_host() != m_host) {
@@ -156,26 +180,21 @@
     if (blocked != m_blocked.end()) {
         return !hasTrial(blocked->second);
     }
-    if (now < m_lastReply + contactTimeout) {
+    if (now < m_lastReply + contactTimeout || now >= m_lastReport + pauseThreshold) {
         return false;
     }
-    const auto culprits = m_evidence.culprits({}, now);
+    const auto culprits = m_evidence.culprits(blockedFingerprints(), now);
     return std::find(culprits.begin(), culprits.end(), fingerprint) != culprits.end();
 }
 
-bool RequestBlocker::admit(const std::string &fingerprint, Time now)
+void RequestBlocker::recordSending(const std::string &fingerprint)
 {
-    if (isBlocked(fingerprint, now)) {
-        recordRefusal(fingerprint, now);
-        return false;
-    }
     const auto blocked = m_blocked.find(fingerprint);
     if (blocked != m_blocked.end()) {
         m_usedTrials[fingerprint] = blocked->second.trials();
         logInfo("blocked request is tried once",
                 {{"fingerprint", fingerprint}, {"trial", std::to_string(blocked->second.trials())}});
     }
-    return true;
 }
 
 void RequestBlocker::recordCrash(const std::string &fingerprint, const RequestDescription &description,
@@ -187,16 +206,16 @@
 
 void RequestBlocker::recordSuccess(const std::string &fingerprint, Time now)
 {
-    const bool isKnown = m_evidence.suspects().contains(fingerprint) || m_suspects.contains(fingerprint)
+    const bool isKnown = m_evidence.suspects().contains(fingerprint) || m_watched.contains(fingerprint)
         || m_blocked.contains(fingerprint);
     if (isKnown) {
         m_evidence.recordSuccess(fingerprint, now, now);
     }
 }
 
-void RequestBlocker::recordRefusal(const std::string &fingerprint, Time now)
+void RequestBlocker::recordRejection(const std::string &fingerprint, Time now)
 {
-    m_refusals[fingerprint] = now;
+    m_rejections[fingerprint] = now;
 }
 
 void RequestBlocker::updatePrefixes()
@@ -208,29 +227,41 @@
     for (const auto &[fingerprint, request] : m_blocked) {
         m_prefixes.emplace(prefixOf(fingerprint));
     }
-    for (const std::string &fingerprint : m_suspects) {
+    for (const std::string &fingerprint : m_watched) {
         m_prefixes.emplace(prefixOf(fingerprint));
     }
 }
 
 void RequestBlocker::addReport(proto::SyncRequest &request, Time now)
 {
-    std::erase_if(m_refusals, [now](const auto &entry) { return now >= entry.second + refusalLifetime; });
-    for (const auto &[fingerprint, time] : m_refusals) {
-        if (static_cast<std::size_t>(request.refused_blocked_size()) < maxRefusalsReported) {
-            request.add_refused_blocked(fingerprint);
-        }
+    if (now >= m_lastReport + pauseThreshold) {
+        m_lastReply = now;
+    }
+    m_lastReport = now;
+    std::erase_if(m_rejections, [now](const auto &entry) { return now >= entry.second + rejectionLifetime; });
+    std::vector<std::string> rejected;
+    for (const auto &[fingerprint, time] : m_rejections) {
+        rejected.push_back(fingerprint);
+    }
+    std::shuffle(rejected.begin(), rejected.end(), m_random);
+    rejected.resize(std::min(rejected.size(), maxRejectionsReported));
+    for (const std::string &fingerprint : rejected) {
+        request.add_refused_blocked(fingerprint);
     }
     m_evidence.removeExpired(now);
     SuspectEntries entries;
+    SuspectEntries blocked;
     for (const SuspectEntry &entry : m_evidence.suspects()) {
-        // Of a blocked request only a success matters.
-        if (!m_blocked.contains(entry.first) || entry.second.crashes.empty()) {
-            entries.push_back(&entry);
-        }
+        const bool isBlocked = m_blocked.contains(entry.first) && !entry.second.crashes.empty();
+        (isBlocked ? blocked : entries).push_back(&entry);
     }
-    for (const SuspectEntry *entry : selectForReport(std::move(entries), m_random, now)) {
-        addSuspect(request, *entry, now);
+    // A new leader has to know the crashes that a blocked request explains, the latest first.
+    std::sort(blocked.begin(), blocked.end(), isNewer);
+    blocked.resize(std::min(blocked.size(), maxBlockedReported));
+    for (const SuspectEntries &selected : {selectForReport(std::move(entries), m_random, now), blocked}) {
+        for (const SuspectEntry *entry : selected) {
+            addSuspect(request, *entry, now);
+        }
     }
 }
 
--- a/gateway/blocking.cpp
+++ b/gateway/blocking.cpp
@@ -32,18 +32,30 @@
     return m_state.blocker.knowsTarget(m_call->request().head.target) && m_state.blocker.isBlocked(fingerprint(), now);
 }
 
-// Decided again before each attempt, because the request may have been blocked since its last one.
-bool ForwardedRequest::mayBeSent(Time now)
+// Uses up the trial of a blocked request.
+void ForwardedRequest::recordSending()
 {
-    return !m_state.blocker.knowsTarget(m_call->request().head.target) || m_state.blocker.admit(fingerprint(), now);
+    if (m_state.blocker.knowsTarget(m_call->request().head.target)) {
+        m_state.blocker.recordSending(fingerprint());
+    }
+}
+
+// Any whole response of the server shows that the request did not crash it. One that ends with its connection may have
+// ended with a crash.
+void ForwardedRequest::recordSurvival(const Attempt &attempt, Time now)
+{
+    if (!attempt.head.bodyUntilClose && m_state.blocker.knowsTarget(m_call->request().head.target)) {
+        m_state.blocker.recordSuccess(fingerprint(), now);
+    }
 }
 
 // 502 and not 503: the content of the request has run before, and sending it again helps nobody.
 void ForwardedRequest::rejectBlocked()
 {
     countMetric("banyanledge_gateway_blocked_total", {{"route", m_route->name()}});
-    m_state.blocker.recordRefusal(fingerprint(), Clock::now());
-    reject(502, "blocked as " + fingerprint() + ", because backend servers crashed while they ran it", Duration(0));
+    m_state.blocker.recordRejection(fingerprint(), Clock::now());
+    reject(502, "blocked as " + fingerprint() + ", because backend servers crashed while they ran such a request",
+           Duration(0));
 }
 
 // A server that leaves closes connections on purpose, so only servers that may receive requests are checked.
@@ -58,7 +70,7 @@
     const RequestDescription description{m_route->name(), m_customer == nullptr ? "" : m_customer->name(),
                                          request.head.method, path};
     const RequestCrash crash{
-        shortServerHash(server.id), attempt.startTime, now, {static_cast<std::uint32_t>(randomId())}};
+        shortServerHash(server.id), attempt.startTime, now, now, {static_cast<std::uint32_t>(randomId())}};
     m_state.crashCheck.start(server.id, server.address,
                              [&state = m_state, id = server.id, requestId = m_requestId, hash = fingerprint(),
                               description, crash](bool refused) {
--- a/gateway/crashcheck.cpp
+++ b/gateway/crashcheck.cpp
@@ -24,6 +24,7 @@
     {
     }
 
+    std::uint64_t number = 0; // tells it from other checks of the server
     asio::ip::tcp::socket socket;
     Timer timer;
     std::vector<std::function<void(bool)>> waiters;
@@ -44,6 +45,7 @@
 
     asio::io_context &loop;
     std::map<std::string, std::unique_ptr<Check>> checks; // by server id
+    std::uint64_t startedChecks = 0;
 };
 
 void CrashCheck::Private::connect(const std::string &server, const asio::ip::tcp::endpoint &address, Check &check)
@@ -54,13 +56,14 @@
             self->finish(server, false);
         }
     });
-    check.socket.async_connect(address, [weak, server, socket = &check.socket](const asio::error_code &error) {
+    check.number = ++startedChecks;
+    check.socket.async_connect(address, [weak, server, number = check.number](const asio::error_code &error) {
         const auto self = weak.lock();
         if (!self) {
             return;
         }
         const auto found = self->checks.find(server);
-        if (found != self->checks.end() && &found->second->socket == socket) {
+        if (found != self->checks.end() && found->second->number == number) {
             self->finish(server, error == asio::error::connection_refused);
         }
     });
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -63,7 +63,8 @@
     void forwardBody();
     const std::string &fingerprint();
     bool isBlocked(Time now);
-    bool mayBeSent(Time now);
+    void recordSending();
+    void recordSurvival(const Attempt &attempt, Time now);
     void rejectBlocked();
     void checkForCrash(const Attempt &attempt, Time now);
     void recordFailure(const Target &target, const std::string &reason, Time now);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -54,7 +54,7 @@
     }
     d->updateFleetLoads(request, reply, now);
     d->meanRegionRequestRate = reply.region_request_rate();
-    d->blocker.setSuspects({reply.suspects().begin(), reply.suspects().end()}, now);
+    d->blocker.applyReply(reply, now);
 }
 
 void Gateway::report(proto::SyncRequest &request) const
--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -63,6 +63,7 @@
         for (auto &crash : *suspect.mutable_crashes()) {
             crash.set_started_age_ms(crash.started_age_ms() + waitedMs);
             crash.set_ended_age_ms(crash.ended_age_ms() + waitedMs);
+            crash.set_last_ended_age_ms(crash.last_ended_age_ms() + waitedMs);
         }
     }
 }
--- a/ledger/table.cpp
+++ b/ledger/table.cpp
@@ -401,8 +401,14 @@
 {
     const proto::BlockedRequest &request = change.request();
     const auto found = m_blockedRequests.find(request.id());
-    if (found != m_blockedRequests.end() && equalExceptRevision(request, found->second)) {
-        return {};
+    const Revision current = found != m_blockedRequests.end() ? found->second.revision() : 0;
+    if (change.expected_revision() != 0 && change.expected_revision() != current) {
+        return errorResult(proto::ERROR_CONFLICT,
+                           "blocked request " + request.id()
+                               + " was changed or unblocked meanwhile; read the blocked requests again");
+    }
+    if (change.expected_revision() == 0 && current != 0) {
+        return {}; // blocked already
     }
     if (found == m_blockedRequests.end() && m_blockedRequests.size() >= maxBlockedRequests) {
         return errorResult(proto::ERROR_INVALID,
