Let the soak repeat requests that crash backend servers

Two callers, one with a safe and one with an unsafe request, repeat it unchanged under new ids at any gateway. A server that begins to run it resets its connections and refuses new ones for 1 to 2 s. After the last fault a phase of 12 s without faults follows, so that there is time in which all processes are in touch; both callers go on until the end.

New checks: 3 s after the third crash in sequence at most three more arrivals, through gateways that are in touch; the request is answered as blocked with 502, within 0.5 s (503 with Retry-After only if it was not run); no other request is ever answered as blocked; a request that no fault, crash or lost response touched is answered with 200; each of the two requests was blocked, and some requests were undisturbed. A crash counts towards the three if its gateway was not stopped before the server listened again, is the same process and in touch, and the server's zone was not being evacuated, because nothing else can know of it.

503 with Retry-After is allowed to an undisturbed request if all servers of a region said within 0.1 s that they are full, or if an evacuation ended less than WarmupS (+ 0.1 s) ago.

--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -8,8 +8,8 @@
 banyan_test(test_platform unit test_platform.cpp LINK banyan_platform)
 set_tests_properties(test_hostlimits PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204 max_success=100")
 
-# Runs real processes under injected faults, for 8 s with a fixed seed. Longer runs and other seeds are started by hand, see
-# DEVELOPERS.md.
+# Runs real processes with a fixed seed, for 8 s under injected faults and then without. Longer runs and other seeds are
+# started by hand, see DEVELOPERS.md.
 add_test(NAME soak_short COMMAND ${CMAKE_SOURCE_DIR}/tests/soak.py --seed 1 --seconds 8
                                  --daemon $<TARGET_FILE:banyanledged>)
 set_tests_properties(soak_short PROPERTIES LABELS processes TIMEOUT 180)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -10,6 +10,8 @@
   - a read never returns a declaration older than one acknowledged before the read
   - an evacuated availability zone receives no requests
   - acknowledged declarations are not lost
+  - a request that crashes servers is kept away from them after three crashes and answered with 502; no other is blocked
+  - requests that no fault disturbs are answered with 200
 Prints the seed, a line for each failed check, and "N passed, N failed" at the end; exits with 1 if a check failed.
 """
 import argparse
@@ -28,6 +30,14 @@
 KEY = "soak-key"
 EVACUATION_BOUND_S = 5.0  # servers of the zone must receive no requests this long after the acknowledgement
 CALLER_TIMEOUT_S = 4.0
+CONTACT_S = 3.0  # a process without a fault for this long is in touch
+CRASHES_TO_BLOCK = 3  # crashes one after the other
+BLOCKING_BOUND_S = 3.0  # a request that crashes servers must be blocked this long after the last of these crashes
+MAX_LATE_ARRIVALS = 3  # of such a request after that
+BLOCKED_ANSWER_BOUND_S = 0.5
+WARMUP_S = 1.0  # of servers, as declared
+FULL_S = 0.1  # a server that refused a request may be taken to be full for this long
+QUIET_S = 12.0  # phase without faults: until processes are in touch, crashes, BLOCKING_BOUND_S, and as long to count
 
 
 def free_port(taken=set()):
@@ -89,14 +99,20 @@
     """TCP proxy in front of one backend server. `mode` is the fault injected into all its connections."""
 
     def __init__(self, target_port):
-        self.target_port, self.mode, self.port, self.writers = target_port, "pass", 0, set()
+        self.target_port, self.mode, self.port, self.writers = target_port, "pass", free_port(), set()
+        self.listener = None  # while the server runs
 
     async def start(self):
-        server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self.listener = await asyncio.start_server(self.accept, "127.0.0.1", self.port)
+
+    def crash(self):
+        """Refuses new connections until the next start, and resets all open ones."""
+        self.listener.close()
+        self.listener = None
+        self.reset()
 
     async def accept(self, reader, writer):
-        if self.mode == "refuse":
+        if self.mode == "refuse" or not self.listener:
             writer.transport.abort()
             return
         try:
@@ -105,6 +121,8 @@
             writer.transport.abort()
             return
         self.writers |= {writer, server_writer}
+        if not self.listener:
+            self.reset()  # crashed meanwhile
         await asyncio.gather(self.forward(reader, server_writer, "up"), self.forward(server_reader, writer, "down"))
         self.writers -= {writer, server_writer}
 
@@ -127,18 +145,35 @@
             writer.transport.abort()
 
 
+class CrashingRequest:
+    """A request that crashes each server that begins to run it."""
+
+    def __init__(self, method, target, body):
+        self.method, self.target, self.body = method, target, body
+        self.crashes = []  # (time, start of the attempt of the caller, its request id, gateway, its process)
+        self.late_arrivals, self.blocked_answers = 0, 0
+
+
 class Soak:
     def __init__(self, arguments):
         self.arguments = arguments
         self.random = random.Random(arguments.seed)
         self.folder = tempfile.mkdtemp(prefix="banyanledge-soak-")
-        self.failures, self.check_count, self.served = [], 0, 0
+        self.failures, self.check_count, self.served, self.undisturbed_count = [], 0, 0, 0
         self.processes = {}  # asyncio process by name
         self.last_fault_end = {}  # end of the last pause or restart by process name
         self.servers, self.proxies = {}, {}
+        self.crashing = {"/safe/crash": CrashingRequest("GET", "/safe/crash", b""),
+                         "/unsafe/crash": CrashingRequest("POST", "/unsafe/crash", b"crash")}
+        self.faults, self.attempts = [], {}  # [process or server, start, end]; (gateway, start) by id if crashing
+        self.tasks = set()  # that nothing else waits for
         self.runs, self.statuses = {}, {}  # executions and response status by request id
+        self.lost_responses = set()  # request ids
         self.acked_version, self.sent_version = 0, 0  # newest versions of the declaration
         self.evacuated = {}  # time of the acknowledgement by zone, None if not evacuated
+        self.leaving_zones, self.last_return = set(), 0  # until the end of the evacuation is acknowledged; time of this
+        self.refusals = {}  # time of the last one by server
+        self.quiet = False  # no more faults
         self.stopping = False
 
     def check(self, condition, failure):
@@ -147,6 +182,22 @@
             self.failures.append(failure)
             print(f"FAILED seed {self.arguments.seed}: {failure}", flush=True)
 
+    def begin_fault(self, name):
+        self.faults.append([name, time.monotonic(), float("inf")])
+        return self.faults[-1]
+
+    def undisturbed(self, names, start, end):
+        return not any(name in names and first <= end and last >= start for name, first, last in self.faults)
+
+    def in_touch(self, gateway, start, end):
+        """Whether the gateway and all control hosts were in touch from `start` to `end`."""
+        return self.undisturbed([gateway] + self.controls, start - CONTACT_S, end)
+
+    def run_in_background(self, coroutine):
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     # ------------------------------------------------------------------ backend servers and the platform
     async def start_server(self, number):
         zone = list(ZONES)[number % len(ZONES)]
@@ -167,6 +218,9 @@
         line, headers, body = message
         request_id = headers.get("x-request-id", "")
         id_header = f"X-Request-Id: {request_id}\r\n"
+        crashing = self.crashing.get(line.split()[1])
+        if not self.proxies[name].listener:
+            return
         try:
             if headers.get("x-expect-instance") != name:
                 writer.write(f"HTTP/1.1 421 X\r\n{id_header}Content-Length: 0\r\n\r\n".encode())
@@ -177,7 +231,10 @@
             if since and not any(time.monotonic() - end < EVACUATION_BOUND_S for end in self.last_fault_end.values()):
                 self.check(time.monotonic() - since < EVACUATION_BOUND_S,
                            f"server {name} in the evacuated zone {zone} received request {request_id}")
+            if crashing and self.must_be_blocked(crashing, self.attempts[request_id][0]):
+                self.count_late_arrival(crashing, request_id)
             if self.random.random() < 0.05:
+                self.refusals[name] = time.monotonic()
                 writer.write(f"HTTP/1.1 503 X\r\n{id_header}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n".encode())
                 return
             self.runs[request_id] = self.runs.get(request_id, 0) + 1
@@ -186,8 +243,13 @@
                            f"unsafe request {request_id} was executed {self.runs[request_id]} times")
                 self.check(self.statuses.get(request_id) not in (429, 503),
                            f"refused request {request_id} was executed later")
+            if crashing:
+                self.record_crash(crashing, request_id, zone)
+                self.run_in_background(self.crash_server(name))
+                return
             await asyncio.sleep(self.random.uniform(0.005, 0.08))
             if self.random.random() < 0.03:
+                self.lost_responses.add(request_id)
                 writer.transport.abort()  # executed, but the response is lost
                 return
             content = f"{name}|{request_id}|".encode() + body * 3
@@ -197,6 +259,53 @@
         except OSError:
             pass
 
+    def leaving(self, zone):
+        return time.monotonic() < self.leaving_until.get(zone, 0)
+
+    def may_be_full(self):
+        """Whether all servers of a zone, a region here, refused just now, or came back and may have to warm up."""
+        now = time.monotonic()
+        full = {name for name, refused in self.refusals.items() if now < refused + FULL_S}
+        return now < self.last_return + WARMUP_S + FULL_S or any(
+            all(name in full for name in self.servers if self.servers[name]["Zone"] == zone) for zone in ZONES)
+
+    async def crash_server(self, name):
+        fault = self.begin_fault(name)
+        self.proxies[name].crash()
+        await asyncio.sleep(self.random.uniform(1.0, 2.0))
+        await self.proxies[name].start()
+        fault[2] = time.monotonic()
+
+    def record_crash(self, request, request_id, zone):
+        gateway, start = self.attempts[request_id]
+        # Servers that leave may break off requests, so that the crash of one in an evacuated zone says nothing.
+        process = None if zone in self.leaving_zones else self.processes[gateway]
+        request.crashes.append((time.monotonic(), start, request_id, gateway, process))
+
+    def blocked_since(self, request):
+        """Time by which the request must be blocked, None before. Counts crashes one after the other that a gateway was
+        able to see, because it was not stopped before the server ran again, and that it still knows and can report."""
+        now, count, last_crash, last_id = time.monotonic(), 0, 0, None
+        for crash, start, request_id, gateway, process in request.crashes:
+            known = self.processes[gateway] is process and self.undisturbed([gateway], crash, crash + 1)
+            if not known or not self.undisturbed([gateway], now - CONTACT_S, now):
+                continue
+            if start >= last_crash or request_id == last_id:
+                count, last_crash, last_id = count + 1, crash, request_id
+            if count == CRASHES_TO_BLOCK:
+                return crash + BLOCKING_BOUND_S
+        return None
+
+    def must_be_blocked(self, request, gateway):
+        now = time.monotonic()
+        since = self.blocked_since(request)
+        return since is not None and now >= since and self.in_touch(gateway, now, now)
+
+    def count_late_arrival(self, request, request_id):
+        request.late_arrivals += 1
+        self.check(request.late_arrivals <= MAX_LATE_ARRIVALS,
+                   f"{request_id} is arrival {request.late_arrivals} of a request that must be blocked")
+
     async def start_platform(self):
         async def serve(reader, writer):
             while await read_message(reader):
@@ -258,7 +367,7 @@
         return {"Version": f"{version:08x}",
                 "Routes": [dict(route, Name="safe", PathPrefix="/safe/", Type="safe"),
                            dict(route, Name="unsafe", PathPrefix="/unsafe/", Type="unsafe")],
-                "Services": [{"Name": "svc", "WarmupS": 1.0, "WarmupPerS": 50.0}],
+                "Services": [{"Name": "svc", "WarmupS": WARMUP_S, "WarmupPerS": 50.0}],
                 "Tenants": [{"Name": "cust", "ApiKeys": [KEY], "RatePerS": 2000, "Burst": 2000}]}
 
     async def post_change(self, target, body=b""):
@@ -288,10 +397,15 @@
                 zone = self.random.choice(list(ZONES))
                 start = not any(self.evacuated.values())
                 zone = zone if start else next(z for z, since in self.evacuated.items() if since)
+                self.leaving_zones.add(zone)
                 if not start:
                     self.evacuated[zone] = None
-                if await self.post_change(f"/api/evacuations/{zone}/{'start' if start else 'end'}") and start:
+                acknowledged = await self.post_change(f"/api/evacuations/{zone}/{'start' if start else 'end'}")
+                if acknowledged and start:
                     self.evacuated[zone] = time.monotonic()
+                elif acknowledged:
+                    self.leaving_zones.discard(zone)
+                    self.last_return = time.monotonic()
 
     async def read_periodically(self):
         while not self.stopping:
@@ -309,10 +423,12 @@
         body = os.urandom(self.random.choice([10, 2000])).hex().encode() if unsafe else b""
         headers = {"X-Request-Id": request_id, "X-Affinity-Key": self.random.randrange(20), "X-Deadline-Ms": 2000,
                    "Authorization": f"Bearer {KEY}"}
-        response = await call(self.gateway_address[self.random.choice(self.gateways)], "POST" if unsafe else "GET",
+        gateway, start = self.random.choice(self.gateways), time.monotonic()
+        response = await call(self.gateway_address[gateway], "POST" if unsafe else "GET",
                             ("/unsafe/" if unsafe else "/safe/") + "x", headers, body)
         status = response[0] if response else None
         self.statuses[request_id] = status
+        self.check_innocent(request_id, gateway, start, response)
         if status == 200:
             self.served += 1
             name, received_id, content = response[2].split(b"|", 2)
@@ -324,6 +440,48 @@
             self.check(request_id not in self.runs,
                        f"request {request_id} was refused with {status} after it had been executed")
 
+    def check_innocent(self, request_id, gateway, start, response):
+        self.check(not response or not response[2].startswith(b"blocked as"), f"request {request_id} was blocked")
+        now = time.monotonic()
+        disturbed = request_id in self.lost_responses or not self.undisturbed(self.servers, start - CONTACT_S, now)
+        if not disturbed and self.in_touch(gateway, start, now):
+            self.undisturbed_count += 1
+            full = response and response[0] == 503 and "retry-after" in response[1] and self.may_be_full()
+            self.check(full or response and response[0] == 200,
+                       f"request {request_id} of {gateway} was answered with {response and (response[0], response[2])}")
+
+    async def repeat_crashing(self, request):
+        await asyncio.sleep(self.random.uniform(0, self.arguments.seconds))
+        number = 0
+        while True:
+            number += 1
+            await self.send_crashing(request, f"crash-{request.method}-{number}")
+            await asyncio.sleep(0.1)
+
+    async def send_crashing(self, request, request_id):
+        gateway, start = self.random.choice(self.gateways), time.monotonic()
+        self.attempts[request_id] = gateway, start
+        must_be_blocked = self.must_be_blocked(request, gateway)
+        headers = {"X-Request-Id": request_id, "X-Affinity-Key": 0, "X-Deadline-Ms": 2000,
+                   "Authorization": f"Bearer {KEY}"}
+        response = await call(self.gateway_address[gateway], request.method, request.target, headers, request.body)
+        status, answer_headers, answer = response or (None, {}, b"")
+        self.statuses[request_id] = status
+        took = time.monotonic() - start
+        blocked = answer.startswith(b"blocked as")
+        self.check(status not in (429, 503) or request_id not in self.runs,
+                   f"request {request_id} was refused with {status} after it had been executed")
+        self.check(not blocked or status == 502, f"blocked request {request_id} was answered with {status}")
+        request.blocked_answers += blocked
+        if not must_be_blocked or not self.in_touch(gateway, start, time.monotonic()) or request_id in self.runs:
+            return
+        if status == 502 and answer.startswith(b"server "):
+            self.count_late_arrival(request, request_id)  # at a server that was crashing
+        else:
+            self.check(blocked or status == 503 and "retry-after" in answer_headers,
+                       f"request {request_id} must be blocked and was answered with {status} {answer}")
+            self.check(took < BLOCKED_ANSWER_BOUND_S, f"blocked request {request_id} was answered after {took:.2f} s")
+
     async def send_periodically(self):
         number = 0
         tasks = set()
@@ -338,6 +496,7 @@
     # ------------------------------------------------------------------ faults
     async def inject_process_fault(self, name):
         kind = self.random.choice(["kill", "pause", "term", "hup", "wipe" if name in self.controls else "pause"])
+        fault = self.begin_fault(name) if kind != "hup" else [name, 0, 0]
         if kind == "pause":
             self.processes[name].send_signal(signal.SIGSTOP)
             await asyncio.sleep(self.random.uniform(0.1, 3.0))
@@ -355,24 +514,28 @@
             # A control host whose data was wiped has to catch up before the next fault.
             await asyncio.sleep(5.0 if name in self.controls else 0.0)
             self.last_fault_end[name] = time.monotonic()
+        fault[2] = time.monotonic()
 
     async def inject_process_faults(self, names):
         """Injects one fault at a time into `names`, so that the control hosts keep their quorum."""
-        while not self.stopping:
+        while not self.quiet:
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
             await self.inject_process_fault(self.random.choice(names))
 
     async def inject_link_faults(self):
-        while not self.stopping:
+        while not self.quiet:
             await asyncio.sleep(self.random.uniform(0.1, 1.0))
-            proxy = self.proxies[self.random.choice(list(self.proxies))]
+            name = self.random.choice(list(self.proxies))
+            proxy = self.proxies[name]
             mode = self.random.choice(["delay", "refuse", "silent", "silent-up", "silent-down", "reset"])
+            fault = self.begin_fault(name)
             if mode == "reset":
                 proxy.reset()
-                continue
-            proxy.mode = mode
-            await asyncio.sleep(self.random.uniform(0.2, 2.0))
-            proxy.mode = "pass"
+            else:
+                proxy.mode = mode
+                await asyncio.sleep(self.random.uniform(0.2, 2.0))
+                proxy.mode = "pass"
+            fault[2] = time.monotonic()
 
     async def wait_ready(self, seconds):
         end = time.monotonic() + seconds
@@ -393,15 +556,21 @@
         await self.put_declaration()
         self.check(await self.wait_ready(20), "the gateways were not ready after 20 s")
         self.write_control_settings(bootstrap=False)
-        tasks = [asyncio.create_task(coroutine) for coroutine in
-                 (self.send_periodically(), self.change_periodically(), self.read_periodically(),
-                  self.inject_process_faults(self.controls), self.inject_process_faults(self.gateways),
-                  self.inject_link_faults())]
+        load = [asyncio.create_task(coroutine) for coroutine in
+                (self.send_periodically(), self.change_periodically(), self.read_periodically())]
+        faults = [asyncio.create_task(coroutine) for coroutine in
+                  (self.inject_process_faults(self.controls), self.inject_process_faults(self.gateways),
+                   self.inject_link_faults())]
+        crashing = [asyncio.create_task(self.repeat_crashing(request)) for request in self.crashing.values()]
         await asyncio.sleep(self.arguments.seconds)
+        self.quiet = True
+        await asyncio.gather(*faults)
+        await asyncio.sleep(QUIET_S)
         self.stopping = True
-        await asyncio.gather(*tasks)
+        await asyncio.gather(*load)
         self.check(self.served > 0, "no request was served")
         await self.check_recovery()
+        await self.check_crashing_callers(crashing)
         for name in self.processes:
             await self.stop_process(name, signal.SIGTERM)
 
@@ -426,6 +595,19 @@
         self.check(self.served - served_before >= 25,
                    f"only {self.served - served_before} of 50 requests were served after the last fault")
 
+    async def check_crashing_callers(self, tasks):
+        """Ends the callers that repeat crashing requests, and checks that there was something to check."""
+        for task in tasks:
+            task.cancel()
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        self.check(all(isinstance(result, asyncio.CancelledError) for result in results),
+                   f"a caller of a crashing request failed: {results}")
+        for request in self.crashing.values():
+            self.check(len(request.crashes) >= CRASHES_TO_BLOCK,
+                       f"{request.target} crashed only {len(request.crashes)} servers")
+            self.check(request.blocked_answers > 0, f"{request.target} was never answered as blocked")
+        self.check(self.undisturbed_count > 0, "no request was undisturbed")
+
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
@@ -447,6 +629,10 @@
                     pass
     if not soak.failures and not soak.arguments.keep:
         shutil.rmtree(soak.folder)
+    for request in soak.crashing.values():
+        print(f"{request.target}: {len(request.crashes)} crashes, {request.late_arrivals} late arrivals, "
+              f"{request.blocked_answers} answers as blocked")
+    print(f"{soak.undisturbed_count} undisturbed requests")
     print(f"{soak.served} requests served, version {soak.acked_version} acknowledged")
     print(f"{soak.check_count - len(soak.failures)} passed, {len(soak.failures)} failed")
     sys.exit(1 if soak.failures else 0)
