--- a/entry/server.h
+++ b/entry/server.h
@@ -49,6 +49,9 @@
     // Registers a callback for a client that disconnects before the response is finished. It may run at once.
     void onDisconnect(std::function<void()> disconnected);
 
+    // Keeps the token until the last byte of the response has been written or the connection has been closed.
+    void holdUntilWritten(std::shared_ptr<void> token);
+
 private:
     std::shared_ptr<Private> d;
 };
@@ -73,7 +76,7 @@
     // Stops listening, closes all connections and ends the threads.
     void stop();
 
-    // Closes each connection after its next response.
+    // Closes each connection after its next response. Requests that arrive behind that one are not handled.
     void closeAfterResponses();
 
     // Port in use, for tests that bind port 0.
--- a/net/connection.cpp
+++ b/net/connection.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "base/log.h"
 #include "base/metrics.h"
 
 namespace banyanledge
@@ -24,6 +25,9 @@
 // Time for a client to receive the last response before the connection is closed.
 constexpr milliseconds lingerTimeout{1000};
 
+// Longest path in a log line.
+constexpr std::size_t maxLoggedPathBytes = 128;
+
 } // namespace
 
 const char *closeReasonText(CloseReason reason)
@@ -201,6 +205,14 @@
         if (call->m_aborted) {
             continue;
         }
+        if (call->m_ended) {
+            // Its handler has finished with it, so nobody else tells that the client did not get the response.
+            const bool writing = call == calls.front() && !m_writing.empty();
+            logInfo("response not sent whole, because the connection ended first",
+                    {{"path", std::string(targetPath(call->m_request.head.target).substr(0, maxLoggedPathBytes))},
+                     {"reason", closeReasonText(reason)},
+                     {"sent", writing ? "maybe" : "no"}});
+        }
         countMetric("banyanledge_http_requests_cut_total", {{"reason", closeReasonText(reason)}});
         call->m_disconnected = reason;
         call->m_drainedCallback = {};
@@ -322,7 +334,7 @@
 }
 
 // Requests are handled at once only if all of them allow it: when an earlier response closes the connection, the client
-// sends those behind it again.
+// sends those behind it again. An aborted response is sure to end it.
 bool Connection::mayHandle(const HttpHead &head) const
 {
     const auto &mayPipeline = m_owner->options().mayPipeline;
@@ -330,8 +342,9 @@
         return true;
     }
     return mayPipeline && mayPipeline(head)
-        && std::all_of(m_calls.begin(), m_calls.end(),
-                       [&mayPipeline](const auto &call) { return mayPipeline(call->request().head); });
+        && std::all_of(m_calls.begin(), m_calls.end(), [&mayPipeline](const auto &call) {
+               return !call->m_aborted && mayPipeline(call->request().head);
+           });
 }
 
 void Connection::handleReceived()
@@ -393,9 +406,10 @@
     if (!m_calls.empty()) {
         PendingCall &front = *m_calls.front();
         if (front.m_aborted) {
-            reset();
+            cutFront();
             return;
         }
+        front.m_sending = front.m_sending || !front.m_output.empty();
         m_writing += std::exchange(front.m_output, {});
         if (m_writing.empty() && front.m_ended) {
             finishFront();
@@ -436,7 +450,7 @@
     const auto finished = m_calls.front();
     m_calls.pop_front();
     if (finished->m_closeAfterResponse) {
-        linger();
+        linger(CloseReason::EarlierResponseLast);
         return;
     }
     if (m_calls.empty() && !m_requestStarted) {
@@ -458,7 +472,18 @@
 void Connection::abortCall(const PendingCall &call)
 {
     if (!m_calls.empty() && m_calls.front().get() == &call) {
+        cutFront();
+    }
+}
+
+// Ends the connection instead of sending the rest of the oldest response. A reset would destroy bytes of the responses
+// before it that the kernel still has to send.
+void Connection::cutFront()
+{
+    if (m_calls.front()->m_sending) {
         reset();
+    } else {
+        linger(CloseReason::EarlierResponseCut);
     }
 }
 
@@ -472,14 +497,14 @@
 
 // Shuts down sending and closes the connection after lingerTimeout. Closing at once with unread bytes would reset the
 // connection and could lose a response in transit. Requests behind the last response count as not read.
-void Connection::linger()
+void Connection::linger(CloseReason reason)
 {
     m_lingering = true;
     m_input.clear();
-    disconnectCalls(CloseReason::EarlierResponseLast);
+    disconnectCalls(reason);
     asio::error_code ignored; // the client may have closed already
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    startTimer(lingerTimeout, [this] { close(CloseReason::EarlierResponseLast); });
+    startTimer(lingerTimeout, [this, reason] { close(reason); });
     read();
 }
 
