Log and measure the age of a gateway's copy of the table

The line of a request now has copy_age_ms, a gateway logs when its copy is not confirmed any more and when it is again, and banyanledge_table_copy_age_seconds holds the age. A host learns with each Sync reply at which time its copy was current (when the call was sent). No decision uses it yet.

--- a/fleet/controlclient.cpp
+++ b/fleet/controlclient.cpp
@@ -412,6 +412,9 @@
         return;
     }
     freshUntil = std::max(freshUntil.load(), finished.sent + freshnessLease);
+    if (options.onConfirmed) {
+        options.onConfirmed(finished.sent);
+    }
     if (options.takesTokens) {
         tokenCalls.measureRoundTrips(knownHosts(), Clock::now());
     }
@@ -427,6 +430,8 @@
         logWarning("Sync call to the control leader failed; trying again",
                    {{"address", failed.address},
                     {"reason", failed.status.ok() ? failed.reply.message() : failed.status.error_message()},
+                    {"after_ms",
+                     std::to_string(std::chrono::duration_cast<milliseconds>(Clock::now() - failed.sent).count())},
                     {"revision", std::to_string(view.load()->revision())}});
     }
 }
--- a/fleet/controlclient.h
+++ b/fleet/controlclient.h
@@ -26,6 +26,9 @@
         std::function<void(proto::SyncRequest &)> addReport; // adds this host's report to each request
         // Called with each valid reply, before the callbacks of a new copy of the table; may be empty.
         std::function<void(const proto::SyncRequest &, const proto::SyncReply &)> onReply;
+        // Called after each valid reply and its callbacks: the copy holds everything committed at `confirmedAt`; may be
+        // empty.
+        std::function<void(Time confirmedAt)> onConfirmed;
         bool takesTokens = false; // takeTokens() will be called, so the nearest control host has to be known
         bool longTimeout = false; // longer Sync timeout, for hosts that keep serving without a lease
     };
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -267,6 +267,13 @@
     finish(status, reason);
 }
 
+// Age of the copy of the table in milliseconds; empty before it was first confirmed.
+std::string ForwardedRequest::viewAgeText() const
+{
+    const std::optional<Duration> age = m_state.viewAge(Clock::now());
+    return age ? millisecondsText(*age) : std::string();
+}
+
 // Ends the request and logs it; status 0 when the client got no complete response.
 void ForwardedRequest::finish(int status, const std::string &reason)
 {
@@ -285,6 +292,7 @@
              {"service", m_serviceName},
              {"customer", m_customer == nullptr ? "" : m_customer->name()},
              {"version", std::to_string(m_routing->version())},
+             {"copy_age_ms", viewAgeText()},
              {"attempts", std::to_string(m_attemptCount)},
              {"servers",
               [this] {
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -79,6 +79,7 @@
     void releaseServer();
     void finish(int status, const std::string &reason);
     Duration timeLeft(Time now) const;
+    std::string viewAgeText() const;
 
     GatewayState &m_state;
     std::shared_ptr<HttpCall> m_call;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -39,6 +39,16 @@
     d->setView(view, Clock::now());
 }
 
+void Gateway::confirmView(Time confirmedAt)
+{
+    d->viewConfirmedAt = std::max(d->viewConfirmedAt, confirmedAt);
+}
+
+std::optional<Duration> Gateway::viewAge(Time now) const
+{
+    return d->viewAge(now);
+}
+
 void Gateway::applySyncReply(const proto::SyncRequest &request, const proto::SyncReply &reply)
 {
     const Time now = Clock::now();
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,12 @@
     // Applies a new copy of the replicated table.
     void setView(const std::shared_ptr<const View> &view);
 
+    // Records that the copy of the table in use holds everything committed at `confirmedAt`.
+    void confirmView(Time confirmedAt);
+
+    // Time since the copy of the table was last confirmed; nullopt before the first confirmation.
+    std::optional<Duration> viewAge(Time now) const;
+
     // Applies the reply to a Sync call: this host's shares of the customers' rates, the loads of backend servers, the
     // mean request rate of the region and the requests that are suspected of crashing servers. `request` is the call
     // that was answered.
--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -89,6 +89,9 @@
                [this](const proto::SyncRequest &request, const proto::SyncReply &reply) {
                    asio::post(loop, [this, request, reply] { gateway.applySyncReply(request, reply); });
                },
+               [this](Time confirmedAt) {
+                   asio::post(loop, [this, confirmedAt] { gateway.confirmView(confirmedAt); });
+               },
                true /* takesTokens */, true /* longTimeout: the gateway keeps serving without a lease */})
     {
     }
@@ -97,6 +100,7 @@
     void addReport(proto::SyncRequest &request);
     void updateReport();
     void measureLoopDelay(Time now);
+    void reportViewAge(Time now);
     bool ready() const;
 
     // Runs a function on the event loop's thread, waits for it and returns its result.
@@ -125,6 +129,7 @@
     Time reportDue{}; // used on the loop only
     bool leaving = false; // used on the loop only
     bool wasReady = false;
+    bool viewWasOld = false;
     std::thread thread;
 };
 
@@ -159,9 +164,26 @@
     }
 }
 
+// Logs when the copy of the table has become older than freshnessLease, and when it is confirmed again.
+void GatewayHost::Private::reportViewAge(Time now)
+{
+    const std::optional<Duration> age = gateway.viewAge(now);
+    if (!age) {
+        return;
+    }
+    setMetric("banyanledge_table_copy_age_seconds", {}, std::chrono::duration<double>(*age).count());
+    const bool isOld = *age >= freshnessLease;
+    if (isOld != std::exchange(viewWasOld, isOld)) {
+        logInfo(isOld ? "the copy of the table is not confirmed any more" : "the copy of the table is confirmed again",
+                {{"revision", std::to_string(controlClient.view()->revision())},
+                 {"age_ms", std::to_string(std::chrono::duration_cast<milliseconds>(*age).count())}});
+    }
+}
+
 void GatewayHost::Private::updateReport()
 {
     measureLoopDelay(Clock::now());
+    reportViewAge(Clock::now());
     proto::SyncRequest report;
     gateway.report(report);
     report.set_host_load(static_cast<double>(gateway.inFlight()) / options.settings.gateway().largest_in_flight());
--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -144,6 +144,11 @@
     return found != m_fingerprints.end() && !found->second.empty();
 }
 
+std::optional<Duration> GatewayState::viewAge(Time now) const
+{
+    return viewConfirmedAt == Time{} ? std::nullopt : std::optional(now - viewConfirmedAt);
+}
+
 bool GatewayState::shouldRebalance(Time now)
 {
     return std::uniform_real_distribution<double>()(random)
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -81,6 +82,9 @@
     // Whether new requests may be sent to the server: it is in the table, and neither leaving nor drained.
     bool mayReceiveRequests(const std::string &server) const;
 
+    // Time since the copy of the table was last confirmed to be current; nullopt before the first confirmation.
+    std::optional<Duration> viewAge(Time now) const;
+
     // Whether to close the client's connection after the current response, because this host gets more requests than
     // the mean host of its region. Random, with a probability that grows with the imbalance.
     bool shouldRebalance(Time now);
@@ -92,6 +96,7 @@
     CrashCheck crashCheck;
     RequestBlocker blocker;
     std::shared_ptr<const Routing> routing = Routing::build(std::make_shared<const View>());
+    Time viewConfirmedAt{}; // the copy holds everything committed at this time
     std::map<std::string, ServerState> servers;
     std::map<std::string, ServiceState> services;
     std::map<std::string, RateBucket> buckets; // by customer
