Apply Sync replies that arrive late, and don't ask again while one is arriving

Cause: a gateway gave up a Sync call after 1.4 s, also while its reply was arriving, and asked for the same changes again from their first byte, on a new connection. A table that needs more than 1.4 s on the host's link never arrived, and two calls given up in a row are past the bound of 2.5 s. Class: a time limit that throws away progress, so that each retry adds to what made the first one late. Change: after 1.4 s without a first byte another call begins, as before, but the first one stays outstanding for up to 6 s and its reply is applied when it arrives. Once the first byte is there the reply gets 4 s before anything is asked again. Rate shares and loads of an older call don't replace those of a newer one. A reply confirms the copy for the time at which its own call was sent.

--- a/fleet/controlclient.cpp
+++ b/fleet/controlclient.cpp
@@ -24,14 +24,21 @@
 // freshnessLease, so that one lost reply does not end the lease.
 constexpr milliseconds maxSyncWait{400};
 
-// Timeout of a Sync call. After one lost call and a switch to another host, the next reply still arrives before
-// freshnessLease ends.
+// Time that the first byte of a Sync reply gets. Then another control host is called. After one lost call and a switch
+// to another host, the next reply still arrives before freshnessLease ends.
 constexpr milliseconds syncTimeout{700};
 
-// Timeout of a Sync call with Options::longTimeout. On a saturated link a reply may take longer than syncTimeout, and a
-// retry would add the same traffic again.
+// The same with Options::longTimeout. On a saturated link a reply may take longer than syncTimeout, and a retry would
+// add the same traffic again.
 constexpr milliseconds longSyncTimeout{1400};
 
+// Time that a whole Sync reply gets once its first byte has arrived, before another control host is called. A retry
+// would send the reply again over the same link.
+constexpr milliseconds wholeReplyTimeout{4000};
+
+// A reply that arrives after the next call began is still applied, up to this time after its call.
+constexpr milliseconds lateReplyLimit{6000};
+
 // Delay before the next Sync or Propose call after a failed one.
 constexpr milliseconds retryDelay{20};
 
@@ -52,16 +59,33 @@
     return result;
 }
 
-// Outstanding Sync call.
-struct SyncCall
+// Outstanding Sync call. `done` and `replyBegun` are guarded by Private::mutex.
+struct SyncCall : grpc::ClientUnaryReactor
 {
+    void OnReadInitialMetadataDone(bool ok) override
+    {
+        if (ok) {
+            onReplyBegin();
+        }
+    }
+
+    void OnDone(const grpc::Status &result) override
+    {
+        const auto self = std::move(outstanding); // the end of this function may release the call
+        onEnd(result);
+    }
+
     grpc::ClientContext context;
     proto::SyncRequest request;
     proto::SyncReply reply;
     grpc::Status status;
     std::string address;
     Time sent;
-    bool done = false; // guarded by Private::mutex
+    std::shared_ptr<SyncCall> outstanding; // this call until gRPC has finished with it
+    std::function<void()> onReplyBegin;
+    std::function<void(const grpc::Status &)> onEnd;
+    bool replyBegun = false; // the first byte of the reply has arrived
+    bool done = false;
 };
 
 // Command that is sent until it has a result or its deadline passes.
@@ -100,9 +124,15 @@
 
     void run();
     std::shared_ptr<SyncCall> startCall();
-    void finishCall(SyncCall &finished);
+    Time overdueAt(const SyncCall &call) const;
+    void handleOverdueCall(const SyncCall &overdue);
+    void handleEndedLateCalls(std::unique_lock<std::mutex> &lock);
+    void finishCall(const SyncCall &finished);
+    void finishLateCall(const SyncCall &finished);
     bool apply(const SyncCall &finished);
-    void logSyncFailure(const SyncCall &failed);
+    void applyLoads(const SyncCall &finished);
+    void confirm(const SyncCall &finished);
+    void logSyncFailure(const SyncCall &failed, const std::string &reason);
     void switchHost(const std::string &failed, const std::string &leaderAddress);
     std::unique_ptr<proto::Control::Stub> stubFor(const std::string &address);
     void runDueActions(std::unique_lock<std::mutex> &lock);
@@ -116,13 +146,14 @@
 
     const Options options;
     std::thread thread;
-    mutable std::mutex mutex; // guards the members below except `lastSyncFailed` and the atomics
+    mutable std::mutex mutex; // guards the members below except those of the thread and the atomics
     std::condition_variable condition;
     bool stopping = false;
     proto::MemberState state = proto::MEMBER_LIVE;
     std::string currentHost; // address of the control host that is called
     std::vector<std::string> controlHosts; // addresses from the settings and from replies
     std::shared_ptr<SyncCall> syncCall; // outstanding or not yet handled; null if none
+    std::vector<std::shared_ptr<SyncCall>> lateCalls; // outstanding ones after which another call was begun
     std::vector<Waiter> waiters;
     std::multimap<Time, std::function<void()>> timers;
     std::vector<std::function<void(const std::shared_ptr<const View> &)>> listeners;
@@ -130,7 +161,9 @@
     Time poolLoadsReceivedAt{};
     std::map<std::string, double> hostLoads; // of busy hosts, by id
     int outstandingCalls = 0; // of propose()
-    bool lastSyncFailed = false; // the last Sync call failed; used on this client's thread only
+    // Used on this client's thread only.
+    bool lastSyncFailed = false; // the last Sync call failed
+    Time lastAppliedCall{}; // when the newest call with a valid reply was sent
     ChannelCache channels;
     TokenCalls tokenCalls{channels};
 
@@ -163,6 +196,9 @@
         if (d->syncCall) {
             d->syncCall->context.TryCancel();
         }
+        for (const auto &call : d->lateCalls) {
+            call->context.TryCancel();
+        }
     }
     d->condition.notify_all();
     d->tokenCalls.stop();
@@ -279,7 +315,17 @@
 {
     std::unique_lock lock(mutex);
     Time nextCall = Clock::now();
-    while (!stopping || syncCall || outstandingCalls > 0) {
+    while (!stopping || syncCall || !lateCalls.empty() || outstandingCalls > 0) {
+        handleEndedLateCalls(lock);
+        if (syncCall && !syncCall->done && !stopping && Clock::now() >= overdueAt(*syncCall)) {
+            const auto overdue = std::move(syncCall);
+            syncCall.reset();
+            lateCalls.push_back(overdue);
+            lock.unlock();
+            handleOverdueCall(*overdue);
+            lock.lock();
+            nextCall = Clock::now();
+        }
         if (syncCall && syncCall->done) {
             const auto finished = std::move(syncCall);
             syncCall.reset();
@@ -298,8 +344,11 @@
             }
         }
         runDueActions(lock);
-        const Time until = std::min(nextDeadline(), syncCall || stopping ? Time::max() : nextCall);
-        if (!(syncCall && syncCall->done)) {
+        const Time nextStep = syncCall ? overdueAt(*syncCall) : nextCall;
+        const Time until = std::min(nextDeadline(), stopping ? Time::max() : nextStep);
+        const bool anyLateEnded =
+            std::any_of(lateCalls.begin(), lateCalls.end(), [](const auto &c) { return c->done; });
+        if (!(syncCall && syncCall->done) && !anyLateEnded) {
             condition.wait_until(lock, std::min(until, Clock::now() + std::chrono::seconds(1)));
         }
     }
@@ -376,30 +425,86 @@
         syncCall = started;
     }
     const auto stub = stubFor(started->address);
-    started->context.set_deadline(systemClockDeadline(options.longTimeout ? longSyncTimeout : syncTimeout));
+    started->context.set_deadline(systemClockDeadline(lateReplyLimit));
     // The lease counts from here, not from the arrival of the reply: the leader confirms that the reply holds
     // everything committed up to some time after this one, which may be long before the reply arrives.
     started->sent = Clock::now();
-    stub->async()->Sync(&started->context, &started->request, &started->reply, [this, started](grpc::Status status) {
+    started->onReplyBegin = [this, call = started.get()] {
+        const std::lock_guard lock(mutex);
+        call->replyBegun = true;
+    };
+    started->onEnd = [this, call = started.get()](const grpc::Status &status) {
         // Notifies under the lock: after stop() the object may be destroyed as soon as the thread sees `done`.
         const std::lock_guard lock(mutex);
-        started->status = std::move(status);
-        if (started->status.ok() && !unpackCommon(started->reply)) {
-            started->status = grpc::Status(grpc::StatusCode::DATA_LOSS, lastError().message);
+        call->status = status;
+        if (call->status.ok() && !unpackCommon(call->reply)) {
+            call->status = grpc::Status(grpc::StatusCode::DATA_LOSS, lastError().message);
         }
-        started->done = true;
+        call->done = true;
         condition.notify_all();
-    });
+    };
+    started->outstanding = started;
+    stub->async()->Sync(&started->context, &started->request, &started->reply, started.get());
+    started->StartCall();
     return started;
 }
 
-void ControlClient::Private::finishCall(SyncCall &finished)
+// When another call is begun although this one is outstanding.
+Time ControlClient::Private::overdueAt(const SyncCall &call) const
+{
+    const milliseconds firstByteTimeout = options.longTimeout ? longSyncTimeout : syncTimeout;
+    return call.sent + (call.replyBegun ? wholeReplyTimeout : firstByteTimeout);
+}
+
+// Calls another host next.
+void ControlClient::Private::handleOverdueCall(const SyncCall &overdue)
+{
+    countMetric("banyanledge_sync_overdue_total");
+    logSyncFailure(overdue, overdue.replyBegun ? "the reply takes too long" : "no reply in time");
+    channels.recordFailure(overdue.address, Clock::now());
+    switchHost(overdue.address, {});
+}
+
+// Applies the replies to late calls that have ended. Releases the lock meanwhile.
+void ControlClient::Private::handleEndedLateCalls(std::unique_lock<std::mutex> &lock)
+{
+    std::vector<std::shared_ptr<SyncCall>> ended;
+    std::erase_if(lateCalls, [&ended](const auto &call) {
+        if (call->done) {
+            ended.push_back(call);
+        }
+        return call->done;
+    });
+    if (ended.empty()) {
+        return;
+    }
+    lock.unlock();
+    for (const auto &call : ended) {
+        finishLateCall(*call);
+    }
+    lock.lock();
+}
+
+// Applies a reply that arrived after the next call began, unless the copy is newer by now. A late call that failed has
+// been handled when it was overdue.
+void ControlClient::Private::finishLateCall(const SyncCall &finished)
+{
+    if (!finished.status.ok() || finished.reply.kind() != proto::ERROR_NONE) {
+        return;
+    }
+    countMetric("banyanledge_sync_late_replies_total");
+    if (finished.reply.content().revision() < view.load()->revision() || apply(finished)) {
+        confirm(finished);
+    }
+}
+
+void ControlClient::Private::finishCall(const SyncCall &finished)
 {
     if (!finished.status.ok() || finished.reply.kind() != proto::ERROR_NONE) {
         countMetric("banyanledge_sync_failures_total");
         const bool cancelledHere = finished.status.error_code() == grpc::StatusCode::CANCELLED;
         if (!cancelledHere) {
-            logSyncFailure(finished);
+            logSyncFailure(finished, finished.status.ok() ? finished.reply.message() : finished.status.error_message());
             if (!finished.status.ok()) {
                 channels.recordFailure(finished.address, Clock::now());
             }
@@ -411,10 +516,7 @@
         switchHost(finished.address, {});
         return;
     }
-    freshUntil = std::max(freshUntil.load(), finished.sent + freshnessLease);
-    if (options.onConfirmed) {
-        options.onConfirmed(finished.sent);
-    }
+    confirm(finished);
     if (options.takesTokens) {
         tokenCalls.measureRoundTrips(knownHosts(), Clock::now());
     }
@@ -423,16 +525,25 @@
     }
 }
 
+// Records that the copy holds everything that was committed when the answered call was sent.
+void ControlClient::Private::confirm(const SyncCall &finished)
+{
+    freshUntil = std::max(freshUntil.load(), finished.sent + freshnessLease);
+    if (options.onConfirmed) {
+        options.onConfirmed(finished.sent);
+    }
+}
+
 // Logs the first of several failed calls in a row.
-void ControlClient::Private::logSyncFailure(const SyncCall &failed)
+void ControlClient::Private::logSyncFailure(const SyncCall &failed, const std::string &reason)
 {
     if (!std::exchange(lastSyncFailed, true)) {
-        logWarning("Sync call to the control leader failed; trying again",
-                   {{"address", failed.address},
-                    {"reason", failed.status.ok() ? failed.reply.message() : failed.status.error_message()},
-                    {"after_ms",
-                     std::to_string(std::chrono::duration_cast<milliseconds>(Clock::now() - failed.sent).count())},
-                    {"revision", std::to_string(view.load()->revision())}});
+        logWarning(
+            "Sync call to the control leader failed; trying again",
+            {{"address", failed.address},
+             {"reason", reason},
+             {"after_ms", std::to_string(std::chrono::duration_cast<milliseconds>(Clock::now() - failed.sent).count())},
+             {"revision", std::to_string(view.load()->revision())}});
     }
 }
 
@@ -451,26 +562,15 @@
         }
         view = next;
     }
-    if (options.onReply) {
-        options.onReply(finished.request, reply);
+    // Shares and loads of an older call must not replace those of a newer one.
+    if (finished.sent >= lastAppliedCall) {
+        lastAppliedCall = finished.sent;
+        applyLoads(finished);
     }
     std::vector<std::function<void(const std::shared_ptr<const View> &)>> listenersToCall;
-    {
+    if (next != previous) {
         const std::lock_guard lock(mutex);
-        poolLoads.assign(reply.pools().begin(), reply.pools().end());
-        poolLoadsReceivedAt = Clock::now();
-        for (const std::string &address : reply.control_hosts()) {
-            if (std::find(controlHosts.begin(), controlHosts.end(), address) == controlHosts.end()) {
-                controlHosts.push_back(address);
-            }
-        }
-        hostLoads.clear();
-        for (const auto &host : reply.busy_hosts()) {
-            hostLoads[host.id()] = host.load();
-        }
-        if (next != previous) {
-            listenersToCall = listeners;
-        }
+        listenersToCall = listeners;
     }
     for (const auto &listener : listenersToCall) {
         listener(next);
@@ -478,6 +578,26 @@
     return true;
 }
 
+void ControlClient::Private::applyLoads(const SyncCall &finished)
+{
+    const auto &reply = finished.reply;
+    if (options.onReply) {
+        options.onReply(finished.request, reply);
+    }
+    const std::lock_guard lock(mutex);
+    poolLoads.assign(reply.pools().begin(), reply.pools().end());
+    poolLoadsReceivedAt = Clock::now();
+    for (const std::string &address : reply.control_hosts()) {
+        if (std::find(controlHosts.begin(), controlHosts.end(), address) == controlHosts.end()) {
+            controlHosts.push_back(address);
+        }
+    }
+    hostLoads.clear();
+    for (const auto &host : reply.busy_hosts()) {
+        hostLoads[host.id()] = host.load();
+    }
+}
+
 // Switches to the leader that the failed host named, or else to the next control host.
 void ControlClient::Private::switchHost(const std::string &failed, const std::string &leaderAddress)
 {
--- a/fleet/controlclient.h
+++ b/fleet/controlclient.h
@@ -15,7 +15,7 @@
 namespace banyanledge
 {
 
-// Has at most one Sync call outstanding and switches to another control host when the call fails.
+// Switches to another control host when a Sync call fails or its reply is late; a late reply is still applied.
 class ControlClient
 {
 public:
--- a/tests/relay.cpp
+++ b/tests/relay.cpp
@@ -62,6 +62,18 @@
     m_partitioned = true;
 }
 
+void Relay::limitBytesToClients(double bytesPerSecond)
+{
+    m_bytesPerSecondToClients = bytesPerSecond;
+}
+
+void Relay::silenceConnectionsSince(std::chrono::steady_clock::time_point time)
+{
+    for (const SessionPtr &session : m_sessions) {
+        session->silent = session->silent || session->accepted >= time;
+    }
+}
+
 void Relay::heal()
 {
     m_partitioned = false;
@@ -84,6 +96,7 @@
         if (error) {
             return;
         }
+        session->accepted = std::chrono::steady_clock::now();
         m_sessions.insert(session);
         session->connectTimer.expires_after(2 * m_oneWayDelay);
         session->connectTimer.async_wait([this, session](const asio::error_code &cancelled) {
@@ -117,8 +130,8 @@
                                            close(session);
                                            return;
                                        }
-                                       if (!m_partitioned) {
-                                           direction.chunks.push_back({std::chrono::steady_clock::now() + m_oneWayDelay,
+                                       if (!m_partitioned && !session->silent) {
+                                           direction.chunks.push_back({arrival(direction, *session, size),
                                                                        std::string(direction.buffer.data(), size)});
                                            write(session, direction);
                                        }
@@ -126,6 +139,19 @@
                                    });
 }
 
+std::chrono::steady_clock::time_point Relay::arrival(const Direction &direction, const Session &session,
+                                                     std::size_t size)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (m_bytesPerSecondToClients <= 0 || &direction != &session.toClient) {
+        return now + m_oneWayDelay;
+    }
+    const std::chrono::duration<double> transferTime(static_cast<double>(size) / m_bytesPerSecondToClients);
+    m_linkFreeAt =
+        std::max(m_linkFreeAt, now) + std::chrono::duration_cast<std::chrono::steady_clock::duration>(transferTime);
+    return m_linkFreeAt + m_oneWayDelay;
+}
+
 void Relay::write(const SessionPtr &session, Direction &direction)
 {
     if (direction.writing || direction.chunks.empty()) {
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -29,6 +29,12 @@
     // Drops all received bytes in both directions from now on. New connections are still accepted.
     void partition();
 
+    // Limits the bytes to the clients, over all connections together, which wait for each other as on a full link.
+    void limitBytesToClients(double bytesPerSecond);
+
+    // Drops all bytes on the connections that were accepted after a time, and forwards later connections.
+    void silenceConnectionsSince(std::chrono::steady_clock::time_point time);
+
     // Forwards again. Closes all connections, because bytes may be missing on them; both ends have to reconnect.
     void heal();
 
@@ -59,6 +65,8 @@
         explicit Session(asio::io_context &context);
         void close();
 
+        std::chrono::steady_clock::time_point accepted;
+        bool silent = false;
         asio::ip::tcp::socket client;
         asio::ip::tcp::socket target;
         asio::steady_timer connectTimer;
@@ -74,6 +82,9 @@
     // Reads from one socket until either fails, then closes the session.
     void read(const SessionPtr &session, Direction &direction);
 
+    // When bytes that were read now arrive at the other socket.
+    std::chrono::steady_clock::time_point arrival(const Direction &direction, const Session &session, std::size_t size);
+
     // Writes the chunks to the other socket when they are due.
     void write(const SessionPtr &session, Direction &direction);
 
@@ -82,6 +93,8 @@
     asio::ip::tcp::endpoint m_target;
     std::chrono::milliseconds m_oneWayDelay;
     std::set<SessionPtr> m_sessions;
+    double m_bytesPerSecondToClients = 0; // 0: no limit
+    std::chrono::steady_clock::time_point m_linkFreeAt; // when the link to the clients has carried all bytes read so far
     bool m_partitioned = false;
 };
 
--- a/tests/test_follower.cpp
+++ b/tests/test_follower.cpp
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <functional>
+#include <future>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -12,6 +13,7 @@
 #include "banyanledge.grpc.pb.h"
 #include "base/invariant.h"
 #include "fleet/controlclient.h"
+#include "relay.h"
 
 using namespace banyanledge;
 
@@ -67,6 +69,10 @@
         std::this_thread::sleep_for(milliseconds(replyDelayMs));
         reply->mutable_content()->set_revision(revision);
         reply->set_snapshot(request->known_revision() == 0);
+        if (request->known_revision() < revision) {
+            reply->mutable_content()->mutable_declaration()->set_version(revision);
+            reply->mutable_content()->mutable_declaration()->set_original(std::string(tableBytes, 'x'));
+        }
         return grpc::Status::OK;
     }
 
@@ -84,11 +90,17 @@
         return grpc::Status::OK;
     }
 
+    grpc::Status TakeTokens(grpc::ServerContext *, const proto::TakeTokensRequest *, proto::TakeTokensReply *) override
+    {
+        return grpc::Status::OK; // measures the round trip
+    }
+
     std::atomic<bool> leader = true;
     std::atomic<bool> frozen = false;
     std::atomic<bool> loseFirstReply = false;
     std::atomic<std::uint64_t> revision = 3;
     std::atomic<int> replyDelayMs = 20;
+    std::atomic<std::size_t> tableBytes = 0; // size of a changed table
     std::atomic<unsigned> syncCalls = 0;
     std::atomic<int> reportedState = 0; // MemberState in the last Sync request
     std::string leaderAddress;
@@ -101,6 +113,48 @@
     std::unique_ptr<grpc::Server> m_server;
 };
 
+// Relay on a thread of its own.
+class RelayThread
+{
+public:
+    explicit RelayThread(const std::string &target)
+        : m_relay(m_loop, "127.0.0.1:0", target)
+        , m_thread([this] { m_loop.run(); })
+    {
+    }
+    ~RelayThread()
+    {
+        m_loop.stop();
+        m_thread.join();
+    }
+    RelayThread(const RelayThread &) = delete;
+    RelayThread &operator=(const RelayThread &) = delete;
+
+    std::string address() const
+    {
+        return m_relay.address();
+    }
+
+    void change(const std::function<void(standin::Relay &)> &function)
+    {
+        std::promise<void> done;
+        asio::post(m_loop, [&] {
+            function(m_relay);
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+private:
+    asio::io_context m_loop;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work{m_loop.get_executor()};
+    standin::Relay m_relay;
+    std::thread m_thread;
+};
+
+// Bound on the time from a change of the table until a gateway has it.
+constexpr milliseconds changeBound{2500};
+
 proto::Member localMember()
 {
     proto::Member self;
@@ -198,6 +252,39 @@
     controlClient.stop();
 }
 
+// Guards against Sync replies that are given up while they arrive and start again from their first byte: a gateway on a
+// full link never got the table.
+TEST_CASE("a table that takes longer to arrive than a Sync call may wait for its first byte arrives whole")
+{
+    FakeControl control;
+    control.tableBytes = 50000;
+    RelayThread relay(control.address());
+    relay.change([](standin::Relay &link) { link.limitBytesToClients(25000); });
+    ControlClient controlClient({localMember(), {relay.address()}, {}, {}, {}, false, true});
+    const Time begun = Clock::now();
+    controlClient.start();
+    CHECK(waitUntilTrue([&] { return controlClient.view()->declaration().version() == 3; }));
+    CHECK(Clock::now() - begun < milliseconds(3500));
+    controlClient.stop();
+}
+
+// Guards against the same for a change, while the link carries other bytes too.
+TEST_CASE("a reply whose first byte comes late is applied when it arrives")
+{
+    FakeControl control;
+    ControlClient controlClient({localMember(), {control.address()}, {}, {}, {}, false, true});
+    controlClient.start();
+    REQUIRE(waitUntilTrue([&] { return controlClient.view()->revision() == 3; }));
+    control.replyDelayMs = 1700; // longer than the limit for the first byte
+    const unsigned callsBefore = control.syncCalls;
+    REQUIRE(waitUntilTrue([&] { return control.syncCalls > callsBefore + 1; })); // a call with this delay has begun
+    control.revision = 4;
+    const Time changed = Clock::now();
+    CHECK(waitUntilTrue([&] { return controlClient.view()->revision() == 4; }));
+    CHECK(Clock::now() - changed < changeBound);
+    controlClient.stop();
+}
+
 // Look-ups at other hosts return a leaving host until the leader knows its new state.
 TEST_CASE("a new state is sent to the leader at once")
 {
