Use no connection to a control host on which nothing arrives

Cause: after a Sync call without a reply only the connection of that call was replaced. The next control host was asked on a connection that had gone silent at the same time, which cost another 1.4 s, and so on. Class: a failure that many connections share is found one connection at a time. Evidence: the new case of test_follower fails on the code before: with silent connections to three control hosts a change arrives after 4.3 s (bound 2.5 s); now after 1.4 s. Change: when a Sync call is overdue, channels from which nothing has arrived since it was sent are replaced, so the next calls open new connections. Channels that delivered a reply meanwhile, and those that are so new that they may still be connecting, stay.

--- a/base/channel.cpp
+++ b/base/channel.cpp
@@ -55,8 +55,36 @@
     if (found == m_entries.end() || now < found->second.openedAt + connectTimeout) {
         return;
     }
-    m_replaced.push_back(std::move(found->second.channel));
+    replace(found->second);
     m_entries.erase(found);
+}
+
+void ChannelCache::recordSuccess(const std::string &address, Time now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_entries.find(address);
+    if (found != m_entries.end()) {
+        found->second.lastSuccess = now;
+    }
+}
+
+void ChannelCache::recordSilence(Time since, Time now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto next = m_entries.begin(); next != m_entries.end();) {
+        const auto current = next++;
+        Entry &entry = current->second;
+        if (entry.lastSuccess < since && now >= entry.openedAt + connectTimeout) {
+            replace(entry);
+            m_entries.erase(current);
+        }
+    }
+}
+
+// Keeps the channel for its outstanding calls.
+void ChannelCache::replace(Entry &entry)
+{
+    m_replaced.push_back(std::move(entry.channel));
     if (m_replaced.size() > maxReplacedChannels) {
         m_replaced.pop_front();
     }
--- a/base/channel.h
+++ b/base/channel.h
@@ -29,13 +29,23 @@
     // call gets another channel, unless this one is so new that it may still be connecting.
     void recordFailure(const std::string &address, Time now);
 
+    // Records that a reply arrived on the address's channel.
+    void recordSuccess(const std::string &address, Time now);
+
+    // Records that a call sent at `since` got no reply. Its network path may be broken, so the next calls get other
+    // channels to all addresses from which nothing has arrived since then.
+    void recordSilence(Time since, Time now);
+
 private:
     struct Entry
     {
         std::shared_ptr<grpc::Channel> channel;
         Time openedAt{};
+        Time lastSuccess{};
     };
 
+    void replace(Entry &entry);
+
     std::mutex m_mutex;
     std::map<std::string, Entry> m_entries; // by address
     std::deque<std::shared_ptr<grpc::Channel>> m_replaced; // may have outstanding calls
--- a/fleet/controlclient.cpp
+++ b/fleet/controlclient.cpp
@@ -456,12 +456,13 @@
     return call.sent + (call.replyBegun ? wholeReplyTimeout : firstByteTimeout);
 }
 
-// Calls another host next.
+// Calls another host next. The connections may have gone silent without an error, that of the next host too, so no
+// connection is used again on which nothing has arrived since the call was sent.
 void ControlClient::Private::handleOverdueCall(const SyncCall &overdue)
 {
     countMetric("banyanledge_sync_overdue_total");
     logSyncFailure(overdue, overdue.replyBegun ? "the reply takes too long" : "no reply in time");
-    channels.recordFailure(overdue.address, Clock::now());
+    channels.recordSilence(overdue.sent, Clock::now());
     switchHost(overdue.address, {});
 }
 
@@ -528,6 +529,7 @@
 // Records that the copy holds everything that was committed when the answered call was sent.
 void ControlClient::Private::confirm(const SyncCall &finished)
 {
+    channels.recordSuccess(finished.address, Clock::now());
     freshUntil = std::max(freshUntil.load(), finished.sent + freshnessLease);
     if (options.onConfirmed) {
         options.onConfirmed(finished.sent);
--- a/fleet/tokencalls.cpp
+++ b/fleet/tokencalls.cpp
@@ -115,7 +115,9 @@
 {
     const Time now = Clock::now();
     const bool refused = call->reply.kind() != proto::ERROR_NONE && call->reply.granted_size() == 0;
-    if (!ok) {
+    if (ok) {
+        m_channels.recordSuccess(call->address, now);
+    } else {
         m_channels.recordFailure(call->address, now);
     }
     bool repeats = false;
--- a/tests/test_follower.cpp
+++ b/tests/test_follower.cpp
@@ -285,6 +285,40 @@
     controlClient.stop();
 }
 
+// Guards against silent connections that are found one after the other, each by a call that runs into its time limit.
+TEST_CASE("a change arrives in time although the connections to all control hosts have gone silent")
+{
+    FakeControl leader;
+    std::vector<std::unique_ptr<FakeControl>> others;
+    std::vector<std::unique_ptr<RelayThread>> relays;
+    relays.push_back(std::make_unique<RelayThread>(leader.address()));
+    for (int i = 0; i < 2; ++i) {
+        others.push_back(std::make_unique<FakeControl>());
+        others.back()->leader = false;
+        others.back()->leaderAddress = relays.front()->address();
+        relays.push_back(std::make_unique<RelayThread>(others.back()->address()));
+    }
+    std::vector<std::string> addresses;
+    for (const auto &relay : relays) {
+        addresses.push_back(relay->address());
+    }
+    // Calls to all control hosts: the first one names the leader, and round trips are measured to each.
+    std::rotate(addresses.begin(), addresses.begin() + 1, addresses.end());
+    const Time started = Clock::now();
+    ControlClient controlClient({localMember(), addresses, {}, {}, {}, true, true});
+    controlClient.start();
+    REQUIRE(waitUntilTrue([&] { return controlClient.view()->revision() == 3; }));
+    std::this_thread::sleep_for(milliseconds(1200)); // until no connection is new
+    for (const auto &relay : relays) {
+        relay->change([started](standin::Relay &link) { link.silenceConnectionsSince(started); });
+    }
+    leader.revision = 4;
+    const Time changed = Clock::now();
+    CHECK(waitUntilTrue([&] { return controlClient.view()->revision() == 4; }));
+    CHECK(Clock::now() - changed < changeBound);
+    controlClient.stop();
+}
+
 // Look-ups at other hosts return a leaving host until the leader knows its new state.
 TEST_CASE("a new state is sent to the leader at once")
 {
