--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -1,5 +1,6 @@
 banyan_test(test_http unit test_http.cpp LINK banyan_net)
 banyan_test(test_gateway unit test_gateway.cpp gateway_fixture.cpp LINK banyan_gateway)
+banyan_test(test_limits unit test_limits.cpp gateway_fixture.cpp LINK banyan_gateway banyan_control)
 banyan_test(test_blocking unit test_blocking.cpp gateway_fixture.cpp LINK banyan_gateway)
 banyan_test(test_crashes decisions test_crashes.cpp LINK banyan_gateway banyan_control)
 banyan_test(test_hostlimits decisions test_hostlimits.cpp LINK banyan_decide)
