Keep to the request rate that a backend server names for itself

Cause: nothing read the header. Class: a statement of a server about itself that the hosts don't share. Evidence: requests a second at both servers are the same before and after they named the limit; the two first cases of test_limits fail on the code before (100 and 37 of 100 requests, allowed 17). Change: one place reads what a response says of its server (gateway/notice; names in platform/). Each host keeps the newest statement for each server (decide/namedlimit) and sends its own ones to the leader with Sync; the leader answers with the newest of each server, so a host keeps to a limit before the server has told it. The limit is divided among the hosts of the server's region, and those whose region has no server of the service; a small one among a few of them, because the bursts must stay small beside it. A server at its limit counts as full: requests go to other servers, or get 503 with Retry-After at once. New requests and retries ask the same question. A limit ends with a normal response that names none, on any host, or after 15 s without a statement; a quarter of a request a second is let through so that this is noticed. Values that are not decimal numbers from 0 on are logged and counted and change nothing. Measured: test_limits passes (7 cases), test_gateway and test_placement pass.

--- a/control/sync.cpp
+++ b/control/sync.cpp
@@ -77,6 +77,7 @@
     recordLoads(m_loads, request, now);
     m_rateShares.recordReport(request, now);
     m_serverLoads.recordReport(request, now);
+    m_namedLimits.recordReport(request, now);
     m_requestBlocks.recordReport(request, now);
     m_arrived.push_back(call);
     if (const auto member = memberUpdate(request, m_objects, m_liveness, now);
@@ -162,6 +163,7 @@
         startLeading(m_liveness, now);
         m_rateShares.reset(m_rateTolerance, now);
         m_serverLoads = {};
+        m_namedLimits = {};
         m_requestBlocks = {};
         m_fleetStateBuiltAt = {};
         logInfo("this control host became the leader", {{"term", std::to_string(m_status.term())}});
@@ -244,6 +246,7 @@
         *part.add_busy_hosts() = load;
     }
     m_serverLoads.addTotals(part, now);
+    m_namedLimits.addStatements(part, now);
     m_requestBlocks.addSuspects(part, now);
     for (const auto &member : m_status.config().members()) {
         part.add_control_hosts(member.rpc_address());
--- a/control/sync.h
+++ b/control/sync.h
@@ -15,6 +15,7 @@
 #include "control/blocks.h"
 #include "control/loads.h"
 #include "control/members.h"
+#include "control/namedlimits.h"
 #include "control/serverloads.h"
 #include "control/tableobjects.h"
 #include "decide/shares.h"
@@ -100,6 +101,7 @@
     const RateTolerance m_rateTolerance;
     RateShareAllocator m_rateShares;
     ServerLoads m_serverLoads;
+    NamedLimits m_namedLimits;
     RequestBlocks m_requestBlocks;
     std::map<Revision, std::string> m_contentParts; // common parts by known revision, for one table revision
     Revision m_contentRevision = 0;
--- /dev/null
+++ b/decide/namedlimit.cpp
@@ -0,0 +1,96 @@
+#include "decide/namedlimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace banyanledge
+{
+
+namespace
+{
+
+// Least rate that all hosts together use, so that they learn when the limit ends. Requests per second.
+constexpr double minRate = 0.25;
+
+// Hosts beyond the whole part of the limit that share it.
+constexpr double extraHosts = 2;
+
+// Time whose requests a host may send at once.
+constexpr double burstSeconds = 0.25;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+LimitShare limitShare(double limit, const LimitSharers &sharers)
+{
+    const double users = std::min(static_cast<double>(sharers.hosts), std::floor(limit) + extraHosts);
+    if (static_cast<double>(sharers.rank) >= users) {
+        return {};
+    }
+    const double perSecond = std::max(limit, minRate) / users;
+    return {perSecond, std::max(1.0, perSecond * burstSeconds)};
+}
+
+bool NamedLimit::recordOwn(const LimitStatement &statement, Time now)
+{
+    return record(m_own, statement, now);
+}
+
+bool NamedLimit::recordFleet(const LimitStatement &statement, Time now)
+{
+    return record(m_fleet, statement, now);
+}
+
+bool NamedLimit::record(LimitStatement &target, const LimitStatement &statement, Time now)
+{
+    if (statement.saidAt < target.saidAt) {
+        return false;
+    }
+    const std::optional<double> before = perSecond(now);
+    target = statement;
+    return perSecond(now) != before;
+}
+
+const LimitStatement &NamedLimit::newest() const
+{
+    return m_own.saidAt >= m_fleet.saidAt ? m_own : m_fleet;
+}
+
+std::optional<double> NamedLimit::perSecond(Time now) const
+{
+    const LimitStatement &last = newest();
+    return now < last.saidAt + namedLimitLifetime ? last.perSecond : std::nullopt;
+}
+
+std::optional<LimitStatement> NamedLimit::ownStatement(Time now) const
+{
+    const bool isKnown = m_own.saidAt != Time{} && now < m_own.saidAt + namedLimitLifetime;
+    return isKnown ? std::optional(m_own) : std::nullopt;
+}
+
+bool NamedLimit::allows(const LimitSharers &sharers, Time now)
+{
+    const std::optional<double> limit = perSecond(now);
+    if (!limit) {
+        m_tokens.reset();
+        return true;
+    }
+    const LimitShare share = limitShare(*limit, sharers);
+    const double refill = m_tokens ? share.perSecond * seconds(now - m_refilledAt) : 0;
+    m_tokens = std::min(share.burst, m_tokens.value_or(share.burst) + refill);
+    m_refilledAt = now;
+    return *m_tokens >= 1;
+}
+
+void NamedLimit::count()
+{
+    if (m_tokens) {
+        *m_tokens -= 1;
+    }
+}
+
+} // namespace banyanledge
--- a/decide/placement.cpp
+++ b/decide/placement.cpp
@@ -128,6 +128,11 @@
     return now < candidate.state->coldUntil;
 }
 
+bool allowedByNamedLimit(const Candidate &candidate, Time now)
+{
+    return candidate.state->limit.allows(candidate.limitSharers.value_or(LimitSharers()), now);
+}
+
 // Without affinity the object's hash is random, which distributes the requests.
 Ranking rankServers(const std::vector<Candidate> &candidates, const PlacementRequest &request,
                     const std::vector<std::size_t> &excluded, Time now)
@@ -140,8 +145,9 @@
             continue;
         }
         ranking.anyHealthy = true;
-        const bool mayBeSent = !isCold(candidate, now) || candidate.coldRate.value_or(0) >= 1;
-        if (mayBeSent && std::find(excluded.begin(), excluded.end(), i) == excluded.end()) {
+        const bool allowedWhileCold = !isCold(candidate, now) || candidate.coldRate.value_or(0) >= 1;
+        if (allowedWhileCold && allowedByNamedLimit(candidate, now)
+            && std::find(excluded.begin(), excluded.end(), i) == excluded.end()) {
             ranking.add({mixHashes(candidate.hash, request.object), i});
         }
     }
@@ -149,6 +155,20 @@
     return ranking;
 }
 
+// Counts the request against the rate limits of a cold or limited server; false when one of them is reached.
+bool takeFromLimits(const Candidate &candidate, Time now)
+{
+    ServerState &state = *candidate.state;
+    if (!allowedByNamedLimit(candidate, now)) {
+        return false;
+    }
+    if (isCold(candidate, now) && !state.coldLimiter.take(candidate.coldRate.value_or(0), now)) {
+        return false;
+    }
+    state.limit.count();
+    return true;
+}
+
 // Chooses the server of lowest cost; a cold server's rate limit is not checked.
 Placement chooseRanked(const std::vector<Candidate> &candidates, const PlacementRequest &request,
                        const Ranking &ranking, Time now)
@@ -185,7 +205,7 @@
             return placement;
         }
         const Candidate &chosen = candidates[placement.index];
-        if (!isCold(chosen, now) || chosen.state->coldLimiter.take(chosen.coldRate.value_or(0), now)) {
+        if (takeFromLimits(chosen, now)) {
             return placement;
         }
         excluded.push_back(placement.index);
--- a/decide/placement.h
+++ b/decide/placement.h
@@ -10,6 +10,7 @@
 
 #include "base/types.h"
 #include "decide/hostlimits.h"
+#include "decide/namedlimit.h"
 
 namespace banyanledge
 {
@@ -27,6 +28,7 @@
     Time ejectedUntil{};
     Time coldUntil{}; // end of the warm-up
     ColdServerLimiter coldLimiter; // for requests while the server is cold
+    NamedLimit limit; // that the server names for itself
     unsigned trialRequests = 0; // requests in flight that test whether an ejected server is back
     Time refusedUntil{}; // no requests until then, because the server said that it is full
 };
@@ -39,6 +41,7 @@
     unsigned slots = 1;
     std::optional<double> coldRate; // requests per second that this host may send while the server is cold; known then
     ServerState *state = nullptr;
+    std::optional<LimitSharers> limitSharers; // this host's place among those that share the server's limit; known then
 };
 
 // The properties of a request that determine its server.
@@ -53,7 +56,7 @@
 // Outcome of a placement.
 enum class PlacementStatus {
     Chosen, // a server was chosen
-    Full, // the healthy servers are full, or cold and at their rate limit
+    Full, // the healthy servers are full, or cold and at their rate limit, or at the limit that they name
     NoServer // no untried server is healthy
 };
 
@@ -83,7 +86,7 @@
 // flight.
 bool healthy(const ServerState &state, Time now);
 
-// Chooses a server for the request. If it is cold, the request counts against its rate limit.
+// Chooses a server for the request. If it is cold or names a limit, the request counts against that.
 Placement placeRequest(const std::vector<Candidate> &candidates, const PlacementRequest &request, Time now);
 
 } // namespace banyanledge
--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -169,6 +169,11 @@
     const bool isSigned = findHeader(head.headers, names.responseSignature) != nullptr
         && findHeader(head.headers, "Content-Encoding") == nullptr;
     attempt.failed = !attempt.refused && (head.status >= 500 || !isSigned);
+    const bool isOtherServer = head.status == 421;
+    if ((isSigned || attempt.refused) && !isOtherServer) {
+        m_state.recordNotice(attempt.target, parseNotice(head.headers, names), isSigned && !attempt.refused,
+                             m_requestId, Clock::now());
+    }
 }
 
 void ForwardedRequest::onResponseBody(const std::string &bytes)
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -177,8 +177,8 @@
     return true;
 }
 
-// Refuses what the table does not allow. A copy of the table that is not confirmed may lack a route or key that was added
-// since, so this host can't tell, and the client may ask another one.
+// Refuses what the table does not allow. A copy of the table that is not confirmed may lack a route or key that was
+// added since, so this host can't tell, and the client may ask another one.
 void ForwardedRequest::deny(int status, const std::string &reason, Time now)
 {
     const std::optional<Duration> age = m_state.viewAge(now);
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -63,6 +63,7 @@
         }
     }
     d->updateFleetLoads(request, reply, now);
+    d->applyNamedLimits(reply, now);
     d->meanRegionRequestRate = reply.region_request_rate();
     d->blocker.applyReply(reply, now);
 }
@@ -81,6 +82,7 @@
         customerRate->set_held(bucket.share());
     }
     d->blocker.addReport(request, now);
+    d->addNamedLimits(request, now);
     for (const auto &[id, state] : d->servers) {
         if (state.inFlight > 0) {
             auto *load = request.add_servers();
--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -66,6 +66,9 @@
             crash.set_last_ended_age_ms(crash.last_ended_age_ms() + waitedMs);
         }
     }
+    for (auto &limit : *request.mutable_limits()) {
+        limit.set_age_ms(limit.age_ms() + waitedMs);
+    }
 }
 
 } // namespace
@@ -146,6 +149,7 @@
     request.set_host_load(lastReport.host_load());
     request.set_request_rate(lastReport.request_rate());
     *request.mutable_suspects() = lastReport.suspects();
+    *request.mutable_limits() = lastReport.limits();
     addAge(request, Clock::now() - lastReportAt);
     *request.mutable_refused_blocked() = lastReport.refused_blocked();
 }
--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -37,6 +37,16 @@
 // Window of the limit on load shifted between regions.
 constexpr double shiftWindowSeconds = 2;
 
+// `requestId` is empty when the leader sent the statement.
+void logLimit(const std::string &server, const std::optional<double> &perSecond, const std::string &requestId)
+{
+    logInfo(perSecond ? "backend server named a limit" : "backend server names no limit any more",
+            {{"server", server},
+             {"per_second", perSecond ? std::to_string(*perSecond) : ""},
+             {"request", requestId},
+             {"source", requestId.empty() ? "leader" : "response"}});
+}
+
 } // namespace
 
 GatewayState::GatewayState(asio::io_context &eventLoop, Gateway::Options gatewayOptions)
@@ -95,6 +105,62 @@
     }
 }
 
+void GatewayState::recordNotice(const Target &target, const ServerNotice &notice, bool isWhole,
+                                const std::string &requestId, Time now)
+{
+    for (const std::string &header : notice.unreadable) {
+        countMetric("banyanledge_gateway_notices_unreadable_total", {{"header", header}});
+        logWarning("a backend server's statement about itself can't be read and is ignored",
+                   {{"server", target.server->id}, {"header", header}, {"request", requestId}});
+    }
+    NamedLimit &limit = target.state->limit;
+    const bool endsLimit = isWhole && notice.unreadable.empty() && limit.perSecond(now);
+    if (!notice.limitPerSecond && !endsLimit) {
+        return;
+    }
+    if (limit.recordOwn({notice.limitPerSecond, now}, now)) {
+        logLimit(target.server->id, limit.perSecond(now), requestId);
+    }
+}
+
+void GatewayState::applyNamedLimits(const proto::SyncReply &reply, Time now)
+{
+    std::unordered_map<std::uint32_t, LimitStatement> statements;
+    for (const auto &limit : reply.limits()) {
+        LimitStatement &statement = statements[limit.server()];
+        statement.saidAt = now - milliseconds(limit.age_ms());
+        if (limit.has_per_second()) {
+            statement.perSecond = limit.per_second();
+        }
+    }
+    std::size_t limited = 0;
+    for (auto &[id, state] : servers) {
+        const auto found = statements.find(shortServerHash(id));
+        if (found != statements.end() && state.limit.recordFleet(found->second, now)) {
+            logLimit(id, state.limit.perSecond(now), {});
+        }
+        limited += state.limit.perSecond(now) ? 1 : 0;
+    }
+    setMetric("banyanledge_gateway_limited_servers", {}, static_cast<double>(limited));
+}
+
+void GatewayState::addNamedLimits(proto::SyncRequest &request, Time now) const
+{
+    for (const auto &[id, state] : servers) {
+        const std::optional<LimitStatement> statement = state.limit.ownStatement(now);
+        if (!statement) {
+            continue;
+        }
+        auto *limit = request.add_limits();
+        limit->set_server(shortServerHash(id));
+        const auto age = std::chrono::duration_cast<milliseconds>(now - statement->saidAt);
+        limit->set_age_ms(static_cast<std::uint32_t>(age.count()));
+        if (statement->perSecond) {
+            limit->set_per_second(*statement->perSecond);
+        }
+    }
+}
+
 void GatewayState::updateServers(Time now)
 {
     std::set<std::string> present;
@@ -192,15 +258,37 @@
 {
     const auto &settings = options.settings;
     const double bound = service.declared->warmup_per_second() * settings.warmup_overshoot() + settings.warmup_slack();
+    const LimitSharers position = positionAmong(server, [](const proto::Member &) { return true; });
+    return position.hosts > 0 ? coldRateShare(bound * warmupRateShare, position.hosts, position.rank) : 0;
+}
+
+// The hosts of the server's region share its limit, and those whose regions have no server of the service.
+LimitSharers GatewayState::limitSharers(const RoutedService &service, const RoutedServer &server) const
+{
+    const LimitSharers nearby = positionAmong(server, [&](const proto::Member &host) {
+        return host.region() == server.region || !service.serversByRegion.contains(host.region());
+    });
+    return nearby.hosts > 0 ? nearby : positionAmong(server, [](const proto::Member &) { return true; });
+}
+
+// This host's place among the live hosts that are included, in an order that differs from server to server.
+LimitSharers GatewayState::positionAmong(const RoutedServer &server,
+                                         const std::function<bool(const proto::Member &)> &isIncluded) const
+{
     const std::uint64_t ownHash = mixHashes(server.hash, hashText(options.host.id()));
-    std::size_t rank = 0;
-    bool isLive = false;
-    for (const auto hostHash : routing->hostHashes()) {
-        const std::uint64_t hash = mixHashes(server.hash, hostHash);
-        isLive = isLive || hash == ownHash;
-        rank += hash > ownHash ? 1 : 0;
+    LimitSharers position{0, 0};
+    bool isMember = false;
+    for (std::size_t i = 0; i < routing->hosts().size(); ++i) {
+        if (!isIncluded(*routing->hosts()[i])) {
+            continue;
+        }
+        const std::uint64_t hash = mixHashes(server.hash, routing->hostHashes()[i]);
+        isMember = isMember || hash == ownHash;
+        position.rank += hash > ownHash ? 1 : 0;
+        ++position.hosts;
     }
-    return isLive ? coldRateShare(bound * warmupRateShare, routing->hosts().size(), rank) : 0;
+    position.rank = isMember ? position.rank : position.hosts;
+    return position;
 }
 
 void GatewayState::updateCandidates()
@@ -226,6 +314,9 @@
         if (!list[i].coldRate && now < list[i].state->coldUntil) {
             list[i].coldRate = warmupRate(service, *service.serversByRegion.at(region)[i]);
         }
+        if (!list[i].limitSharers && list[i].state->limit.perSecond(now)) {
+            list[i].limitSharers = limitSharers(service, *service.serversByRegion.at(region)[i]);
+        }
     }
     return list;
 }
@@ -239,7 +330,7 @@
             continue;
         }
         for (const Candidate &candidate : list) {
-            if (healthy(*candidate.state, now)) {
+            if (healthy(*candidate.state, now) && !candidate.state->limit.perSecond(now)) {
                 load += estimatedLoad(*candidate.state, now);
                 slots += candidate.slots;
             }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -18,6 +18,7 @@
 #include "gateway/blocker.h"
 #include "gateway/crashcheck.h"
 #include "gateway/gateway.h"
+#include "gateway/notice.h"
 #include "gateway/routing.h"
 #include "gateway/tokenclient.h"
 #include "gateway/upstream.h"
@@ -67,6 +68,17 @@
     // `request` this host's part of them.
     void updateFleetLoads(const proto::SyncRequest &request, const proto::SyncReply &reply, Time now);
 
+    // Records what a server said of itself in a response. `isWhole`: the response is a normal one of the server, so a
+    // statement that it lacks is no longer made.
+    void recordNotice(const Target &target, const ServerNotice &notice, bool isWhole, const std::string &requestId,
+                      Time now);
+
+    // Applies the leader's newest statements of servers about their limits.
+    void applyNamedLimits(const proto::SyncReply &reply, Time now);
+
+    // Adds what servers said about their limits in responses to this host.
+    void addNamedLimits(proto::SyncRequest &request, Time now) const;
+
     // Service, regions and placement parameters by which chooseServer() selects a server for a request.
     struct ServerQuery
     {
@@ -118,6 +130,9 @@
     void updateCandidates();
     const RegionCandidates &candidates(const RoutedService &service, const std::string &region, Time now);
     double warmupRate(const RoutedService &service, const RoutedServer &server) const;
+    LimitSharers positionAmong(const RoutedServer &server,
+                               const std::function<bool(const proto::Member &)> &isIncluded) const;
+    LimitSharers limitSharers(const RoutedService &service, const RoutedServer &server) const;
     void updateServiceSpill(const RoutedService &service, ServiceState &state, Time now);
     // Mean load per slot of the healthy servers of a service in the host's own region, or in all other regions.
     double loadPerSlot(const RoutedService &service, bool inHomeRegion, Time now);
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -32,7 +32,7 @@
 
 HeaderNames testHeaderNames()
 {
-    return {"Req-Id", "Left-Ms", "Object", "Signed", "Customer", "Expect", "Load", "Not-Run", "Bearer"};
+    return {"Req-Id", "Left-Ms", "Object", "Signed", "Customer", "Expect", "Load", "Not-Run", "Limit", "Bearer"};
 }
 
 std::string headerValue(const HttpHead &head, const std::string &name)
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -1,6 +1,12 @@
 // Limits that backend servers name for themselves in their responses.
+#include <algorithm>
+#include <random>
+
 #include <catch2/catch.hpp>
 
+#include "control/namedlimits.h"
+#include "gateway/notice.h"
+#include "gateway/state.h"
 #include "gateway_fixture.h"
 
 using namespace banyanledge;
@@ -74,3 +80,151 @@
     CHECK(sendRequests(fixture, 100, milliseconds(20), refused) == 100);
     CHECK(static_cast<double>(fixture.servers[0].received.size()) <= allowedRequests(2));
 }
+
+// Guards against a statement that is read wrongly, such as a limit of 0 for a value that is no number.
+TEST_CASE("limits are read as decimal numbers, and other values state nothing")
+{
+    HeaderNames names;
+    names.serverLimit = "Limit";
+    const auto parse = [&names](const std::vector<std::string> &values) {
+        HttpHeaders headers{{"Other", "1"}};
+        for (const std::string &value : values) {
+            headers.emplace_back("limit", value);
+        }
+        return parseNotice(headers, names);
+    };
+    CHECK(parse({}) == ServerNotice{});
+    CHECK(parse({"7.8"}).limitPerSecond == 7.8);
+    CHECK(parse({"0"}).limitPerSecond == 0);
+    CHECK(parse({"3", "3"}).limitPerSecond == 3);
+    for (const std::string text :
+         {"", " ", "-1", "nan", "inf", "1e400", "0x10", "7,8", "7.8/s", "99999999999999999999e"}) {
+        CAPTURE(text);
+        CHECK(parse({text}) == ServerNotice{{}, {"Limit"}});
+    }
+    CHECK(parse({"3", "4"}) == ServerNotice{{}, {"Limit"}});
+}
+
+// Guards against a limit that outlives the server's need, and against one that ends because a response can't be read.
+TEST_CASE("a limit ends with a normal response that names none, and only with such a response")
+{
+    GatewayFixture fixture(1);
+    auto &server = fixture.servers[0];
+    const auto limited = [&fixture] {
+        proto::SyncRequest report;
+        fixture.gateway->report(report);
+        return report.limits_size() == 1 && report.limits(0).has_per_second();
+    };
+    const auto respond = [&](int status, const std::string &headers) {
+        server.onRequest = [status, headers](const auto &connection, const ReceivedRequest &request) {
+            connection->respond(request, status, "x", headers);
+        };
+        fixture.runFor(milliseconds(120)); // until the limit lets another request through
+        static int number = 0;
+        fixture.call(requestFor(++number));
+    };
+    respond(200, "Limit: 50\r\n");
+    CHECK(limited());
+    respond(200, "Limit: many\r\n");
+    CHECK(limited());
+    respond(503, "Not-Run: 1\r\n");
+    CHECK(limited());
+    respond(421, "");
+    CHECK(limited());
+    respond(200, "");
+    CHECK_FALSE(limited());
+    respond(503, "Not-Run: 1\r\nLimit: 40\r\n");
+    CHECK(limited());
+}
+
+// Guards against bursts and shares that add up to more than the server takes.
+TEST_CASE("the hosts' parts of a limit add up to what the server takes")
+{
+    for (const double limit : {0.0, 0.1, 1.0, 4.1, 7.8, 50.0, 1000.0}) {
+        for (const std::size_t hosts : {1, 3, 10, 71, 295}) {
+            CAPTURE(limit, hosts);
+            LimitShare sum;
+            for (std::size_t rank = 0; rank < hosts; ++rank) {
+                const LimitShare share = limitShare(limit, {hosts, rank});
+                sum.perSecond += share.perSecond;
+                sum.burst += share.burst;
+            }
+            CHECK(sum.burst + windowSeconds * sum.perSecond <= allowedRequests(limit));
+            CHECK(sum.perSecond >= limit * 0.999);
+            CHECK(limitShare(limit, {hosts, hosts}) == LimitShare{});
+        }
+    }
+}
+
+// Guards against hosts that keep to the limit each by itself, and against a limit that hardly any request may use.
+TEST_CASE("ten hosts together send a server no more than its limit, and most of that")
+{
+    constexpr std::size_t hosts = 10;
+    constexpr double limit = 4.5;
+    std::vector<NamedLimit> states(hosts);
+    std::mt19937 random(27);
+    std::vector<Time> sent;
+    const Time start = Time{} + std::chrono::hours(1);
+    for (int ms = 0; ms < 30000; ++ms) {
+        const Time now = start + milliseconds(ms);
+        for (std::size_t rank = 0; rank < hosts; ++rank) {
+            states[rank].recordOwn({limit, now}, now);
+            const bool arrives = std::uniform_real_distribution<double>()(random) < 0.02; // 20 requests a second
+            if (arrives && states[rank].allows({hosts, rank}, now)) {
+                states[rank].count();
+                sent.push_back(now);
+            }
+        }
+    }
+    for (std::size_t i = 0; i < sent.size(); ++i) {
+        const auto end = std::lower_bound(sent.begin(), sent.end(), sent[i] + std::chrono::seconds(4));
+        CHECK(static_cast<double>(end - sent.begin()) - static_cast<double>(i) <= allowedRequests(limit));
+    }
+    CHECK(static_cast<double>(sent.size()) >= 0.8 * limit * 30);
+}
+
+// Guards against hosts that each have to be told by the server, and that don't learn when the limit ends.
+TEST_CASE("a host learns from the leader what servers told the others")
+{
+    const Time start = Time{} + std::chrono::hours(1);
+    const auto report = [](NamedLimits &leader, const std::optional<double> &limit, Duration age, Time now) {
+        proto::SyncRequest request;
+        auto *added = request.add_limits();
+        added->set_server(7);
+        added->set_age_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(age).count()));
+        if (limit) {
+            added->set_per_second(*limit);
+        }
+        leader.recordReport(request, now);
+    };
+    const auto reply = [](NamedLimits &leader, Time now) {
+        proto::SyncReply result;
+        leader.addStatements(result, now);
+        return result;
+    };
+    NamedLimits leader;
+    report(leader, 4.5, milliseconds(100), start);
+    REQUIRE(reply(leader, start).limits_size() == 1);
+    CHECK(reply(leader, start + milliseconds(50)).limits(0).per_second() == 4.5);
+    CHECK(reply(leader, start + milliseconds(50)).limits(0).age_ms() == 150);
+    report(leader, std::nullopt, milliseconds(500), start + milliseconds(100)); // older than the limit
+    CHECK(reply(leader, start + milliseconds(100)).limits(0).has_per_second());
+    report(leader, std::nullopt, milliseconds(0), start + milliseconds(200));
+    CHECK_FALSE(reply(leader, start + milliseconds(200)).limits(0).has_per_second());
+    CHECK(reply(leader, start + milliseconds(200) + namedLimitLifetime).limits().empty());
+
+    GatewayFixture fixture(1);
+    proto::SyncReply told;
+    told.add_limits()->set_server(shortServerHash("s0"));
+    told.mutable_limits(0)->set_per_second(2);
+    fixture.gateway->applySyncReply({}, told);
+    nameLimit(fixture.servers[0], "2");
+    int refused = 0;
+    sendRequests(fixture, 20, milliseconds(1), refused);
+    CHECK(fixture.servers[0].received.size() <= 4);
+    proto::SyncReply ended;
+    ended.add_limits()->set_server(shortServerHash("s0"));
+    fixture.gateway->applySyncReply({}, ended);
+    nameLimit(fixture.servers[0], "");
+    CHECK(sendRequests(fixture, 20, milliseconds(1), refused) == 20);
+}
