Let an unreadable entry of the server list lose only itself

Cause: the whole page was parsed as one JSON text, and what the library can't read there (a number such as 1e999, bytes that are no UTF-8, a lone surrogate, a missing value) made all of it invalid. Class: one part of a text that others write makes every part unreadable. Ports out of range, negative and large integers lost only themselves before too. A page whose strings or brackets don't match is refused whole, as before, because servers would be missing. So is one whose NextToken is neither a string nor null; it counted as the last page.

--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -115,6 +115,61 @@
     CHECK_FALSE(decodeServerListPage("{\"Instances\":{", regions));
 }
 
+// Guards against one entry of another writer that makes the whole list unreadable, so that hosts stop following it, or
+// that takes more memory than a control host has.
+TEST_CASE("an entry of the server list that can't be read loses only itself")
+{
+    const std::string sound = R"("i-1":{"Service":"s1","Address":"10.0.0.1:80","Zone":"z1","Slots":4,"State":"ready"})";
+    const std::string rest = R"(,"Zone":"z1","State":"ready")";
+    const std::string deep(5000000, '[');
+    const std::vector<std::string> odd{
+        R"("o":{"Service":"s1","Address":"10.0.0.2:80","Slots":1e999)" + rest + "}",
+        R"("o":{"Service":"s1","Address":"10.0.0.2:80","Slots":-1)" + rest + "}",
+        R"("o":{"Service":"s1","Address":"10.0.0.2:80","Slots":99999999999999999999999999)" + rest + "}",
+        R"("o":{"Service":"s1","Address":"10.0.0.2:70000","Slots":4)" + rest + "}",
+        R"("o":{"Service":"s1","Address":"10.0.0.2:0","Slots":4)" + rest + "}",
+        "\"o\":{\"Service\":\"\xff\xfe\",\"Address\":\"10.0.0.2:80\",\"Slots\":4" + rest + "}",
+        "\"o\":{\"Service\":\"s\t1\",\"Address\":\"10.0.0.2:80\",\"Slots\":4" + rest + "}",
+        R"("o":{"Service":"\ud800","Address":"10.0.0.2:80","Slots":4)" + rest + "}",
+        R"("o":nul)",
+        R"("o":)",
+        R"("o":{"Service" "s1"})",
+        R"("\x":{})",
+        "\"o\":" + deep + std::string(deep.size(), ']'),
+    };
+    for (const std::string &entry : odd) {
+        CAPTURE(entry.substr(0, 100));
+        for (const std::string &entries : {sound + "," + entry, entry + "," + sound}) {
+            const auto page = decodeServerListPage("{\"Instances\":{" + entries + "},\"NextToken\":null}", regions);
+            REQUIRE(page);
+            CHECK(page->servers.size() == 1);
+            CHECK(page->servers.contains("i-1"));
+            CHECK(page->skipped == 1);
+        }
+    }
+}
+
+// Guards against a list that ends early, whose missing servers would count as gone.
+TEST_CASE("a list whose entries or pages can't be told apart is refused whole")
+{
+    const std::string entry = R"("i-1":{"Service":"s1","Address":"10.0.0.1:80","Zone":"z1","Slots":4,"State":"ready"})";
+    CHECK(decodeServerListPage("{\"Instances\":{" + entry + "}}", regions));
+    CHECK(decodeServerListPage(" {\"Other\":1e999,\"Instances\":{} } ", regions));
+    const std::string begin = R"({"Instances":{)" + entry;
+    const std::vector<std::string> broken{begin + "}",
+                                          begin + "]}",
+                                          begin + ",}}",
+                                          begin + "}} x",
+                                          R"({"Instances":{"a":"b}})",
+                                          R"({"Instances":{"a":[}})",
+                                          begin + R"(},"NextToken":1e999})",
+                                          begin + R"(},"NextToken":7})"};
+    for (const std::string &text : broken) {
+        CAPTURE(text);
+        CHECK_FALSE(decodeServerListPage(text, regions));
+    }
+}
+
 TEST_CASE("all pages of the server list are fetched, and a failed page fails the whole fetch")
 {
     const std::string first =
