Take no refusal that does not name its request

Cause: a response with the id of another request was skipped, one without an id was taken, also as the promise that the request has not run. Class: a promise taken from a response that may belong to another request. Evidence: the new case of test_gateway fails on the code before (503 instead of 502, and the unsafe request reached a second server). Change: a refusal counts only if it repeats the id of the request, or the client sent none. Others are failed attempts that may have run. Servers of the platform repeat the id in all responses. Measured: test_gateway passes.

--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -165,7 +165,10 @@
         // Includes this request: the server counted it as running when it wrote the report.
         recordReport(*attempt.target.state, std::max(0.0, *load), Clock::now());
     }
-    attempt.refused = findHeader(head.headers, names.notExecuted) != nullptr || head.status == 421;
+    // A refusal without the request's id may be one of an earlier request that the server wrote once more.
+    const bool namesRequest = headerValue(head.headers, names.requestId) == m_requestId;
+    const bool isRefusal = findHeader(head.headers, names.notExecuted) != nullptr || head.status == 421;
+    attempt.refused = isRefusal && namesRequest;
     const bool isSigned = findHeader(head.headers, names.responseSignature) != nullptr
         && findHeader(head.headers, "Content-Encoding") == nullptr;
     attempt.failed = !attempt.refused && (head.status >= 500 || !isSigned);
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -435,6 +435,19 @@
     CHECK(fixture.call(GatewayFixture::request("unsafe", "b", "", "x")).status() == 502);
 }
 
+// Guards against a refusal that a faulty server writes once more: clients would be told that a request has not run
+// while the server runs it, and it would run at a second server.
+TEST_CASE("a refusal that does not name the request is no promise that it has not run")
+{
+    GatewayFixture fixture(2);
+    setRequestHandlers(fixture, [](const Connection &connection, const ReceivedRequest &) {
+        connection->write("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    });
+    const auto response = fixture.call(GatewayFixture::request("unsafe", "a", {}, "x"));
+    CHECK(response.status() == 502);
+    CHECK(receivedRequestCount(fixture) == 1);
+}
+
 // Guards against an incomplete response that looks complete to the client.
 TEST_CASE("an incomplete short response is retried, a long one ends the client's connection")
 {
