--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -448,6 +448,56 @@
     CHECK(receivedRequestCount(fixture) == 1);
 }
 
+// Guards against the same for a refusal of an earlier request, whole or in two pieces around the next request.
+TEST_CASE("an earlier refusal that a server writes once more is not taken for that of the next request")
+{
+    const auto split = GENERATE(std::size_t{0}, std::size_t{1}, std::size_t{30}, std::size_t{60});
+    const bool beforeRequest = GENERATE(true, false);
+    CAPTURE(split, beforeRequest);
+    GatewayFixture fixture(1);
+    Connection kept;
+    const std::string refusal = "HTTP/1.1 503 Full\r\nReq-Id: a\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\nfull";
+    fixture.servers[0].onRequest = [&](const Connection &connection, const ReceivedRequest &request) {
+        if (request.header("Req-Id") == "a") {
+            kept = connection;
+            connection->write(refusal);
+            return;
+        }
+        if (connection == kept) {
+            connection->write(refusal.substr(beforeRequest ? split : 0));
+        }
+        connection->respond(request, 200, "run");
+    };
+    CHECK(fixture.call(GatewayFixture::request("unsafe", "a", {}, "x")).status() == 503);
+    fixture.runFor(milliseconds(100)); // until the server counts as free again
+    if (beforeRequest) {
+        kept->write(refusal.substr(0, split));
+        fixture.runFor(milliseconds(10));
+    }
+    const auto response = fixture.call(GatewayFixture::request("unsafe", "b", {}, "x"));
+    CHECK(response.status() == 200);
+    CHECK(response.body == "run");
+    CHECK(fixture.servers[0].received.size() == 2);
+}
+
+// Guards against a head that ends in the middle and reaches the client as a whole response with an empty or short body.
+TEST_CASE("a response whose head ends in the middle is no response")
+{
+    const std::string kind = GENERATE("safe", "unsafe", "download");
+    const std::string whole = "HTTP/1.1 200 OK\r\nReq-Id: a\r\nSigned: s\r\nContent-Length: 12345\r\n\r\n";
+    for (std::size_t size = 1; size < whole.size(); ++size) {
+        CAPTURE(kind, whole.substr(0, size));
+        GatewayFixture fixture(1);
+        fixture.servers[0].onRequest = [&](const Connection &connection, const ReceivedRequest &) {
+            connection->write(whole.substr(0, size));
+            connection->close();
+        };
+        const auto response = fixture.call(GatewayFixture::request(kind, "a"));
+        CHECK(response.status() == 502);
+        CHECK(response.complete);
+    }
+}
+
 // Guards against an incomplete response that looks complete to the client.
 TEST_CASE("an incomplete short response is retried, a long one ends the client's connection")
 {
