Send nothing to servers that say they leave, or that ask for a pause

Cause: nothing read the two statements. Change: gateway/notice reads them with the server's limit. A server that says that it leaves gets no further request from this host, whatever the list says, until the list has shown it as leaving and then as ready again under its id, or without it. A server that refused with 503 and Retry-After gets none until that time has passed, and up to 0.5 s more, different on each host. New requests, retries and those that waited for a token are placed by the same question. If all healthy servers of a service pause, the client gets 503 at once with the time at which the first one wants requests again. Neither counts as capacity for spill. Values that can't be read change nothing, are logged and counted. Open: hosts do not tell each other of leaving and pausing servers yet.

--- a/decide/placement.cpp
+++ b/decide/placement.cpp
@@ -84,6 +84,11 @@
     state.refusedUntil = now + refusalPause;
 }
 
+bool takesRequests(const ServerState &state, Time now)
+{
+    return !state.leaving && now >= state.pausedUntil;
+}
+
 bool healthy(const ServerState &state, Time now)
 {
     // After the ejection time one trial request at a time tests whether the server is back.
@@ -106,6 +111,7 @@
     std::array<RankedServer, maxConsidered + 1> servers{};
     std::size_t size = 0;
     bool anyHealthy = false; // whether any untried server is healthy, also a cold one
+    std::optional<Time> pauseEnd; // of the healthy server whose pause ends first
 
     void add(const RankedServer &added)
     {
@@ -141,7 +147,12 @@
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const Candidate &candidate = candidates[i];
         const bool wasTried = request.tried != nullptr && request.tried->contains(*candidate.id);
-        if (wasTried || !healthy(*candidate.state, now)) {
+        if (wasTried || candidate.state->leaving || !healthy(*candidate.state, now)) {
+            continue;
+        }
+        if (!takesRequests(*candidate.state, now)) {
+            const Time pauseEnd = candidate.state->pausedUntil;
+            ranking.pauseEnd = std::min(ranking.pauseEnd.value_or(pauseEnd), pauseEnd);
             continue;
         }
         ranking.anyHealthy = true;
@@ -174,7 +185,8 @@
                        const Ranking &ranking, Time now)
 {
     Placement result;
-    result.status = ranking.anyHealthy ? PlacementStatus::Full : PlacementStatus::NoServer;
+    result.status = ranking.anyHealthy || ranking.pauseEnd ? PlacementStatus::Full : PlacementStatus::NoServer;
+    result.pauseEnd = ranking.anyHealthy ? std::nullopt : ranking.pauseEnd;
     double lowestCost = 0;
     for (std::size_t rank = 0; rank < ranking.size; ++rank) {
         const std::size_t index = ranking.servers[rank].index;
--- a/decide/placement.h
+++ b/decide/placement.h
@@ -30,6 +30,9 @@
     ColdServerLimiter coldLimiter; // for requests while the server is cold
     NamedLimit limit; // that the server names for itself
     unsigned trialRequests = 0; // requests in flight that test whether an ejected server is back
+    bool leaving = false; // the server said that it takes no further requests
+    bool listedAsLeaving = false; // the table has shown the server as leaving since it said so
+    Time pausedUntil{}; // the server said that it wants no requests until then
     Time refusedUntil{}; // no requests until then, because the server said that it is full
 };
 
@@ -56,7 +59,7 @@
 // Outcome of a placement.
 enum class PlacementStatus {
     Chosen, // a server was chosen
-    Full, // the healthy servers are full, or cold and at their rate limit, or at the limit that they name
+    Full, // the healthy servers are full, at a rate limit or asked for a pause
     NoServer // no untried server is healthy
 };
 
@@ -66,6 +69,7 @@
     PlacementStatus status = PlacementStatus::NoServer;
     std::size_t index = 0; // into the candidates
     double load = 0; // estimated requests per slot of that server, with this one
+    std::optional<Time> pauseEnd; // when the first server wants requests again, if all healthy ones want none now
 };
 
 // Estimated requests running and waiting at a server, from its last report, this host's own requests since then and the
@@ -82,6 +86,9 @@
 bool recordServerFailure(ServerState &state, Time now);
 void recordRefusal(ServerState &state, Time now);
 
+// Whether the server itself takes requests: it neither leaves nor asked for a pause.
+bool takesRequests(const ServerState &state, Time now);
+
 // Whether a request may be sent to the server: it is not ejected, or its ejection has ended and no trial request is in
 // flight.
 bool healthy(const ServerState &state, Time now);
--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -98,7 +98,8 @@
         sendTo(target);
     } else {
         giveUp(status == PlacementStatus::Full ? "all backend servers are at capacity"
-                                               : "no backend server is available");
+                                               : "no backend server is available",
+               target.pauseEnd ? std::max<Duration>(*target.pauseEnd - now, retryAfterOverload) : retryAfterOverload);
     }
 }
 
@@ -174,8 +175,8 @@
     attempt.failed = !attempt.refused && (head.status >= 500 || !isSigned);
     const bool isOtherServer = head.status == 421;
     if ((isSigned || attempt.refused) && !isOtherServer) {
-        m_state.recordNotice(attempt.target, parseNotice(head.headers, names), isSigned && !attempt.refused,
-                             m_requestId, Clock::now());
+        m_state.recordNotice(attempt.target, parseNotice(head, names), isSigned && !attempt.refused, m_requestId,
+                             Clock::now());
     }
 }
 
@@ -348,12 +349,12 @@
 
 // Responds when no further attempt is made: with the server's own error response if there is one, with 503 if certainly
 // no server executed the request, so that the client may retry it, else with 502.
-void ForwardedRequest::giveUp(const std::string &reason)
+void ForwardedRequest::giveUp(const std::string &reason, Duration retryAfter)
 {
     if (m_errorResponse) {
         sendBuffered(*m_errorResponse);
     } else if (m_possibleExecutions == 0) {
-        reject(503, reason, retryAfterOverload);
+        reject(503, reason, retryAfter);
     } else {
         reject(502, reason, Duration(0));
     }
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -12,10 +12,6 @@
 namespace banyanledge
 {
 
-// Retry-After of a request that was not executed because of a lack of capacity, a missing reply to a token request or a
-// timeout. Also the minimum Retry-After of a customer that exceeded its rate limit.
-constexpr milliseconds retryAfterOverload{250};
-
 // State machine of one request, used on the event loop's thread only. forward.cpp implements admission, timeouts and
 // the end of a request, attempt.cpp its attempts at backend servers.
 class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest>
@@ -74,7 +70,7 @@
     void retryOrGiveUp(bool mayHaveRun, const std::string &reason);
     void sendBuffered(const BufferedResponse &response);
     void reject(int status, const std::string &reason, Duration retryAfter);
-    void giveUp(const std::string &reason);
+    void giveUp(const std::string &reason, Duration retryAfter = retryAfterOverload);
     void onTimeout();
     void onDisconnected(CloseReason reason);
     void releaseServer();
--- a/gateway/headernames.h
+++ b/gateway/headernames.h
@@ -18,6 +18,7 @@
     std::string backendLoad; // response header: the server's running requests, waiting requests and slots
     std::string notExecuted; // response header: the server did not execute the request
     std::string serverLimit; // response header: requests a second that the server takes from all hosts together
+    std::string serverLeaving; // response header: 1 when the server takes no further requests
     std::string authScheme; // scheme of the Authorization header that carries the API key
 };
 
--- a/gateway/notice.cpp
+++ b/gateway/notice.cpp
@@ -1,5 +1,6 @@
 #include "gateway/notice.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -9,6 +10,9 @@
 namespace
 {
 
+// Longer pauses are cut to this, so that a faulty value does not take a server away for good.
+constexpr double maxPauseSeconds = 3600;
+
 // Value of a header in a response.
 struct HeaderText
 {
@@ -29,7 +33,7 @@
 }
 
 // A decimal number from 0 on; nullopt for anything else.
-std::optional<double> parseRate(const std::string &text)
+std::optional<double> parseNumber(const std::string &text)
 {
     double value = 0;
     const char *end = text.data() + text.size();
@@ -38,16 +42,38 @@
     return valid ? std::optional(value) : std::nullopt;
 }
 
+// Number in a header; nullopt when the header is missing or not valid, which `notice` records.
+std::optional<double> readNumber(const HttpHeaders &headers, const std::string &name, ServerNotice &notice)
+{
+    const HeaderText text = soleHeader(headers, name);
+    const std::optional<double> number = text.value && !text.ambiguous ? parseNumber(*text.value) : std::nullopt;
+    if (text.value && !number) {
+        notice.unreadable.push_back(name);
+    }
+    return number;
+}
+
+bool readLeaving(const HttpHeaders &headers, const std::string &name, ServerNotice &notice)
+{
+    const HeaderText text = soleHeader(headers, name);
+    const bool valid = !text.value || (!text.ambiguous && (*text.value == "0" || *text.value == "1"));
+    if (!valid) {
+        notice.unreadable.push_back(name);
+    }
+    return valid && text.value == "1";
+}
+
 } // namespace
 
-ServerNotice parseNotice(const HttpHeaders &headers, const HeaderNames &names)
+ServerNotice parseNotice(const HttpHead &head, const HeaderNames &names)
 {
     ServerNotice notice;
-    const HeaderText limit = soleHeader(headers, names.serverLimit);
-    if (limit.value) {
-        notice.limitPerSecond = limit.ambiguous ? std::nullopt : parseRate(*limit.value);
-        if (!notice.limitPerSecond) {
-            notice.unreadable.push_back(names.serverLimit);
+    notice.limitPerSecond = readNumber(head.headers, names.serverLimit, notice);
+    notice.leaving = readLeaving(head.headers, names.serverLeaving, notice);
+    if (head.status == 503) {
+        if (const auto pauseSeconds = readNumber(head.headers, "Retry-After", notice)) {
+            const std::chrono::duration<double> pause(std::min(*pauseSeconds, maxPauseSeconds));
+            notice.pause = std::chrono::duration_cast<Duration>(pause);
         }
     }
     return notice;
--- a/gateway/notice.h
+++ b/gateway/notice.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "base/types.h"
 #include "gateway/headernames.h"
 #include "net/http.h"
 
@@ -15,12 +16,14 @@
 struct ServerNotice
 {
     std::optional<double> limitPerSecond; // requests that the server takes from all hosts together
+    bool leaving = false; // the server takes no further requests
+    std::optional<Duration> pause; // the server wants no requests from this host for so long
     std::vector<std::string> unreadable; // names of headers whose values are not valid; they state nothing
 
     bool operator==(const ServerNotice &) const = default;
 };
 
 // Reads the statements of a response. A header that is repeated with another value is not valid.
-ServerNotice parseNotice(const HttpHeaders &headers, const HeaderNames &names);
+ServerNotice parseNotice(const HttpHead &head, const HeaderNames &names);
 
 } // namespace banyanledge
--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -34,6 +34,9 @@
 // whose rate the leader keeps pooled, so that this host has no share of it.
 constexpr double fallbackRateShare = 0.4;
 
+// Longest time by which a host returns later than a server asked for. Seconds.
+constexpr double maxPauseSpread = 0.5;
+
 // Window of the limit on load shifted between regions.
 constexpr double shiftWindowSeconds = 2;
 
@@ -113,6 +116,20 @@
         logWarning("a backend server's statement about itself can't be read and is ignored",
                    {{"server", target.server->id}, {"header", header}, {"request", requestId}});
     }
+    if (notice.leaving && !std::exchange(target.state->leaving, true)) {
+        upstream.closeIdleConnections(target.server->id);
+        logInfo("backend server said that it leaves", {{"server", target.server->id}, {"request", requestId}});
+    }
+    if (notice.pause) {
+        // Hosts return at different moments, so that the server gets no wave of requests.
+        const std::chrono::duration<double> spread(std::uniform_real_distribution<double>(0, maxPauseSpread)(random));
+        target.state->pausedUntil =
+            std::max(target.state->pausedUntil, now + *notice.pause + std::chrono::duration_cast<Duration>(spread));
+        logInfo("backend server asked for a pause",
+                {{"server", target.server->id},
+                 {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(*notice.pause).count())},
+                 {"request", requestId}});
+    }
     NamedLimit &limit = target.state->limit;
     const bool endsLimit = isWhole && notice.unreadable.empty() && limit.perSecond(now);
     if (!notice.limitPerSecond && !endsLimit) {
@@ -194,6 +211,18 @@
                     {{"server", id}, {"revision", std::to_string(routing->view().revision())}});
         }
     }
+    // A server that the table shows as ready again, after it showed it as leaving, has started anew under its id.
+    for (auto &[id, state] : servers) {
+        const auto found = routing->view().servers().find(id);
+        if (!state.leaving || found == routing->view().servers().end()) {
+            continue;
+        }
+        state.listedAsLeaving = state.listedAsLeaving || found->second.leaving();
+        if (state.listedAsLeaving && !found->second.leaving()) {
+            state.leaving = false;
+            state.listedAsLeaving = false;
+        }
+    }
     // Drops the state of servers that left the table once none of their requests is in flight.
     std::erase_if(servers, [this](const auto &entry) {
         const bool gone = !routing->view().servers().contains(entry.first) && entry.second.inFlight == 0;
@@ -330,7 +359,8 @@
             continue;
         }
         for (const Candidate &candidate : list) {
-            if (healthy(*candidate.state, now) && !candidate.state->limit.perSecond(now)) {
+            const bool takesAny = takesRequests(*candidate.state, now) && !candidate.state->limit.perSecond(now);
+            if (takesAny && healthy(*candidate.state, now)) {
                 load += estimatedLoad(*candidate.state, now);
                 slots += candidate.slots;
             }
@@ -395,6 +425,7 @@
     query.state->overflowAllowance = std::min(
         maxOverflowAllowance, query.state->overflowAllowance + options.settings.largest_shift() * overflowShiftShare);
     PlacementStatus status = PlacementStatus::NoServer;
+    bool onlyPauses = true; // no server is full for another reason
     for (const std::string *region : regionOrder) {
         // A request may always go to the next region when no server of the regions before is healthy. When servers
         // there are healthy but at capacity, the overflow allowance limits this.
@@ -411,7 +442,15 @@
             target.state = regionCandidates[placement.index].state;
             return PlacementStatus::Chosen;
         }
-        status = placement.status == PlacementStatus::Full ? PlacementStatus::Full : status;
+        const bool isFull = placement.status == PlacementStatus::Full;
+        status = isFull ? PlacementStatus::Full : status;
+        onlyPauses = onlyPauses && (!isFull || placement.pauseEnd);
+        if (placement.pauseEnd) {
+            target.pauseEnd = std::min(target.pauseEnd.value_or(*placement.pauseEnd), *placement.pauseEnd);
+        }
+    }
+    if (!onlyPauses) {
+        target.pauseEnd.reset();
     }
     return status;
 }
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -26,6 +26,10 @@
 namespace banyanledge
 {
 
+// Retry-After of a request that was not executed because of a lack of capacity, a missing reply to a token request or a
+// timeout. Also the minimum Retry-After of a customer that exceeded its rate limit.
+constexpr milliseconds retryAfterOverload{250};
+
 // State of the weighted round robin between the services of one route.
 struct SplitState
 {
@@ -46,6 +50,7 @@
 // The backend server selected for a request.
 struct Target
 {
+    std::optional<Time> pauseEnd; // if there is none because all asked for a pause: when the first wants requests again
     const RoutedServer *server = nullptr;
     ServerState *state = nullptr;
 };
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -32,7 +32,8 @@
 
 HeaderNames testHeaderNames()
 {
-    return {"Req-Id", "Left-Ms", "Object", "Signed", "Customer", "Expect", "Load", "Not-Run", "Limit", "Bearer"};
+    return {"Req-Id", "Left-Ms", "Object", "Signed",  "Customer", "Expect",
+            "Load",   "Not-Run", "Limit",  "Leaving", "Bearer"};
 }
 
 std::string headerValue(const HttpHead &head, const std::string &name)
@@ -235,6 +236,7 @@
         server->set_availability_zone("z" + std::to_string(i));
         server->set_address(servers[i].address());
         server->set_slots(4);
+        server->set_leaving(leavingServers.contains(server->id()));
         server->set_revision(1);
     }
     for (const std::string &zone : evacuatedZones) {
--- a/tests/gateway_fixture.h
+++ b/tests/gateway_fixture.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -128,6 +129,7 @@
     std::string address;
     bool confirmsView = true; // publishView() and call() confirm the gateway's copy of the table
     std::vector<std::string> evacuatedZones; // server N is in availability zone "zN"
+    std::set<std::string> leavingServers; // ids of servers that the list shows as leaving
     std::vector<proto::BlockedRequest> blockedRequests;
     TokenClient::SendCall takeTokens; // stands in for the leader; grants no tokens by default
 
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -86,12 +86,14 @@
 {
     HeaderNames names;
     names.serverLimit = "Limit";
+    names.serverLeaving = "Leaving";
     const auto parse = [&names](const std::vector<std::string> &values) {
-        HttpHeaders headers{{"Other", "1"}};
+        HttpHead head;
+        head.headers = {{"Other", "1"}};
         for (const std::string &value : values) {
-            headers.emplace_back("limit", value);
+            head.headers.emplace_back("limit", value);
         }
-        return parseNotice(headers, names);
+        return parseNotice(head, names);
     };
     CHECK(parse({}) == ServerNotice{});
     CHECK(parse({"7.8"}).limitPerSecond == 7.8);
@@ -100,9 +102,9 @@
     for (const std::string text :
          {"", " ", "-1", "nan", "inf", "1e400", "0x10", "7,8", "7.8/s", "99999999999999999999e"}) {
         CAPTURE(text);
-        CHECK(parse({text}) == ServerNotice{{}, {"Limit"}});
+        CHECK(parse({text}) == ServerNotice{{}, false, {}, {"Limit"}});
     }
-    CHECK(parse({"3", "4"}) == ServerNotice{{}, {"Limit"}});
+    CHECK(parse({"3", "4"}) == ServerNotice{{}, false, {}, {"Limit"}});
 }
 
 // Guards against a limit that outlives the server's need, and against one that ends because a response can't be read.
@@ -228,3 +230,87 @@
     nameLimit(fixture.servers[0], "");
     CHECK(sendRequests(fixture, 20, milliseconds(1), refused) == 20);
 }
+
+// Guards against requests to a server that said in a response that it leaves, while the list still shows it as ready.
+TEST_CASE("a server that says that it leaves gets no further request, whatever the list says")
+{
+    GatewayFixture fixture(2);
+    for (std::size_t i = 0; i < fixture.servers.size(); ++i) {
+        fixture.servers[i].onRequest = [i](const auto &connection, const ReceivedRequest &request) {
+            connection->respond(request, 200, "ok", i == 0 ? "Leaving: 1\r\n" : "Leaving: 0\r\n");
+        };
+    }
+    int refused = 0;
+    CHECK(sendRequests(fixture, 40, milliseconds(1), refused) == 40);
+    CHECK(fixture.servers[0].received.size() == 1);
+    fixture.publishView(); // the list still shows it as ready
+    CHECK(sendRequests(fixture, 20, milliseconds(1), refused) == 20);
+    CHECK(fixture.servers[0].received.size() == 1);
+    // Once the list has shown it as leaving and then as ready, it has started anew under its id.
+    fixture.leavingServers = {"s0"};
+    fixture.publishView();
+    fixture.leavingServers.clear();
+    fixture.publishView();
+    fixture.runFor(milliseconds(1100)); // until it is warm
+    sendRequests(fixture, 20, milliseconds(1), refused);
+    CHECK(fixture.servers[0].received.size() == 2);
+}
+
+// Guards against requests that wait until their time limit although every server has left.
+TEST_CASE("a service whose servers all leave refuses at once")
+{
+    GatewayFixture fixture(1);
+    fixture.servers[0].onRequest = [](const auto &connection, const ReceivedRequest &request) {
+        connection->respond(request, 200, "ok", "Leaving: 1\r\n");
+    };
+    int refused = 0;
+    CHECK(sendRequests(fixture, 5, milliseconds(1), refused) == 1);
+    CHECK(refused == 4);
+}
+
+// Guards against a retry on the server that has just said that it leaves, and on one that asked for a pause.
+TEST_CASE("a server that asks for a pause gets no request until its end, and clients are told when that is")
+{
+    GatewayFixture fixture(1);
+    auto &server = fixture.servers[0];
+    const auto pause = [&server](const std::string &seconds) {
+        server.onRequest = [seconds](const auto &connection, const ReceivedRequest &request) {
+            connection->respond(request, 503, "busy", "Not-Run: 1\r\nRetry-After: " + seconds + "\r\n");
+        };
+    };
+    pause("1.2");
+    int refused = 0;
+    CHECK(sendRequests(fixture, 1, milliseconds(1), refused) == 0);
+    nameLimit(server, "");
+    const Time paused = Clock::now();
+    while (Clock::now() < paused + milliseconds(1100)) {
+        const auto response = fixture.call(requestFor(1));
+        REQUIRE(response.status() == 503);
+        const auto left = std::chrono::duration<double>(paused + milliseconds(1200) - Clock::now()).count();
+        CHECK(std::stod(response.header("Retry-After")) >= std::max(left, 0.2) - 0.05);
+        CHECK(std::stod(response.header("Retry-After")) <= left + 0.6);
+        fixture.runFor(milliseconds(50));
+    }
+    CHECK(server.received.size() == 1);
+    fixture.runFor(milliseconds(700));
+    CHECK(fixture.call(requestFor(2)).status() == 200);
+    for (const std::string value : {"Wed, 21 Oct 2026 07:28:00 GMT", "-1", "soon", "inf"}) {
+        pause(value);
+        fixture.call(requestFor(3));
+        fixture.runFor(milliseconds(100));
+        nameLimit(server, "");
+        CHECK(fixture.call(requestFor(4)).status() == 200);
+    }
+}
+
+// Guards against a pause that takes away more than the server that asked for it.
+TEST_CASE("while one server pauses, its requests go to the others")
+{
+    GatewayFixture fixture(3);
+    fixture.servers[0].onRequest = [](const auto &connection, const ReceivedRequest &request) {
+        connection->respond(request, 503, "busy", "Not-Run: 1\r\nRetry-After: 30\r\n");
+    };
+    int refused = 0;
+    CHECK(sendRequests(fixture, 60, milliseconds(1), refused) == 60);
+    CHECK(fixture.servers[0].received.size() == 1);
+}
