--- a/decide/namedlimit.cpp
+++ b/decide/namedlimit.cpp
@@ -35,6 +35,36 @@
     return {perSecond, std::max(1.0, perSecond * burstSeconds)};
 }
 
+LimitStatement receivedStatement(const proto::ServerLimit &message, Time now)
+{
+    LimitStatement statement;
+    statement.saidAt = now - milliseconds(message.age_ms());
+    if (message.has_per_second()) {
+        statement.perSecond = message.per_second();
+    }
+    return statement;
+}
+
+std::vector<proto::ServerLimit> statementMessages(std::vector<std::pair<std::uint32_t, LimitStatement>> statements,
+                                                  std::size_t maxCount, Time now)
+{
+    std::sort(statements.begin(), statements.end(),
+              [](const auto &a, const auto &b) { return a.second.saidAt > b.second.saidAt; });
+    statements.resize(std::min(statements.size(), maxCount));
+    std::vector<proto::ServerLimit> messages;
+    for (const auto &[server, statement] : statements) {
+        proto::ServerLimit message;
+        message.set_server(server);
+        const auto age = std::chrono::duration_cast<milliseconds>(now - statement.saidAt);
+        message.set_age_ms(static_cast<std::uint32_t>(age.count()));
+        if (statement.perSecond) {
+            message.set_per_second(*statement.perSecond);
+        }
+        messages.push_back(std::move(message));
+    }
+    return messages;
+}
+
 bool NamedLimit::recordOwn(const LimitStatement &statement, Time now)
 {
     return record(m_own, statement, now);
--- a/decide/namedlimit.h
+++ b/decide/namedlimit.h
@@ -3,6 +3,8 @@
 
 #include <cstddef>
 #include <optional>
+#include <utility>
+#include <vector>
 
 #include "base/types.h"
 
@@ -44,6 +46,13 @@
     bool operator==(const LimitStatement &) const = default;
 };
 
+// A statement as it is sent between hosts.
+LimitStatement receivedStatement(const proto::ServerLimit &message, Time now);
+
+// Messages for the statements, which come with their servers: those said last, at most `maxCount`.
+std::vector<proto::ServerLimit> statementMessages(std::vector<std::pair<std::uint32_t, LimitStatement>> statements,
+                                                  std::size_t maxCount, Time now);
+
 // Limit of one server as one host knows it, from its own responses and from the other hosts by way of the leader. The
 // newest statement counts.
 class NamedLimit
--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -34,6 +34,9 @@
 // whose rate the leader keeps pooled, so that this host has no share of it.
 constexpr double fallbackRateShare = 0.4;
 
+// Servers whose limits are reported in one Sync call, those heard from last.
+constexpr std::size_t maxReportedLimits = 128;
+
 // Longest time by which a host returns later than a server asked for. Seconds.
 constexpr double maxPauseSpread = 0.5;
 
@@ -144,11 +147,7 @@
 {
     std::unordered_map<std::uint32_t, LimitStatement> statements;
     for (const auto &limit : reply.limits()) {
-        LimitStatement &statement = statements[limit.server()];
-        statement.saidAt = now - milliseconds(limit.age_ms());
-        if (limit.has_per_second()) {
-            statement.perSecond = limit.per_second();
-        }
+        statements[limit.server()] = receivedStatement(limit, now);
     }
     std::size_t limited = 0;
     for (auto &[id, state] : servers) {
@@ -163,19 +162,15 @@
 
 void GatewayState::addNamedLimits(proto::SyncRequest &request, Time now) const
 {
+    std::vector<std::pair<std::uint32_t, LimitStatement>> statements; // by server
     for (const auto &[id, state] : servers) {
-        const std::optional<LimitStatement> statement = state.limit.ownStatement(now);
-        if (!statement) {
-            continue;
-        }
-        auto *limit = request.add_limits();
-        limit->set_server(shortServerHash(id));
-        const auto age = std::chrono::duration_cast<milliseconds>(now - statement->saidAt);
-        limit->set_age_ms(static_cast<std::uint32_t>(age.count()));
-        if (statement->perSecond) {
-            limit->set_per_second(*statement->perSecond);
+        if (const auto statement = state.limit.ownStatement(now)) {
+            statements.emplace_back(shortServerHash(id), *statement);
         }
     }
+    for (auto &limit : statementMessages(std::move(statements), maxReportedLimits, now)) {
+        *request.add_limits() = std::move(limit);
+    }
 }
 
 void GatewayState::updateServers(Time now)
@@ -288,7 +283,8 @@
     const auto &settings = options.settings;
     const double bound = service.declared->warmup_per_second() * settings.warmup_overshoot() + settings.warmup_slack();
     const LimitSharers position = positionAmong(server, [](const proto::Member &) { return true; });
-    return position.hosts > 0 ? coldRateShare(bound * warmupRateShare, position.hosts, position.rank) : 0;
+    const bool isLive = position.rank < position.hosts;
+    return isLive ? coldRateShare(bound * warmupRateShare, position.hosts, position.rank) : 0;
 }
 
 // The hosts of the server's region share its limit, and those whose regions have no server of the service.
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -94,7 +94,8 @@
     std::chrono::milliseconds m_oneWayDelay;
     std::set<SessionPtr> m_sessions;
     double m_bytesPerSecondToClients = 0; // 0: no limit
-    std::chrono::steady_clock::time_point m_linkFreeAt; // when the link to the clients has carried all bytes read so far
+    std::chrono::steady_clock::time_point
+        m_linkFreeAt; // when the link to the clients has carried all bytes read so far
     bool m_partitioned = false;
 };
 
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -314,3 +314,47 @@
     CHECK(sendRequests(fixture, 60, milliseconds(1), refused) == 60);
     CHECK(fixture.servers[0].received.size() == 1);
 }
+
+// Guards against a host that takes a part of a server's rate although the others don't count it among those that share.
+TEST_CASE("a host that the table does not show as live sends nothing to a cold server")
+{
+    GatewayFixture fixture(1);
+    fixture.declaration.mutable_services(0)->set_warmup_per_second(100);
+    proto::TableContent content;
+    content.set_revision(9);
+    *content.mutable_declaration() = fixture.declaration;
+    auto *server = content.add_servers();
+    server->set_id("cold");
+    server->set_service("s");
+    server->set_region("r");
+    server->set_address(fixture.servers[0].address());
+    server->set_slots(4);
+    server->set_warmup_left_ms(60000);
+    auto *other = content.add_members();
+    other->set_id("other");
+    other->set_entry(true);
+    other->set_region("r");
+    other->set_http_address("127.0.0.1:1");
+    other->set_state(proto::MEMBER_LIVE);
+    fixture.gateway->setView(View::next(View(), content, true));
+    int refused = 0;
+    CHECK(sendRequests(fixture, 10, milliseconds(1), refused) == 0);
+    CHECK(fixture.servers[0].received.empty());
+}
+
+// Guards against reports and replies that grow with the number of servers.
+TEST_CASE("the limits of many servers are reported in messages of bounded size")
+{
+    const Time start = Time{} + std::chrono::hours(1);
+    NamedLimits leader;
+    for (std::uint32_t server = 1; server <= 2000; ++server) {
+        proto::SyncRequest request;
+        request.add_limits()->set_server(server);
+        request.mutable_limits(0)->set_per_second(4.5);
+        leader.recordReport(request, start + milliseconds(server));
+    }
+    proto::SyncReply reply;
+    leader.addStatements(reply, start + milliseconds(2000));
+    CHECK(reply.limits_size() == 256);
+    CHECK(reply.ByteSizeLong() <= 256 * 24);
+}
