--- a/gateway/state.h
+++ b/gateway/state.h
@@ -50,9 +50,9 @@
 // The backend server selected for a request.
 struct Target
 {
-    std::optional<Time> pauseEnd; // if there is none because all asked for a pause: when the first wants requests again
     const RoutedServer *server = nullptr;
     ServerState *state = nullptr;
+    std::optional<Time> pauseEnd; // when the first server wants requests again, if none was selected as all pause
 };
 
 class GatewayState
