--- a/tests/test_follower.cpp
+++ b/tests/test_follower.cpp
@@ -299,6 +299,7 @@
         relays.push_back(std::make_unique<RelayThread>(others.back()->address()));
     }
     std::vector<std::string> addresses;
+    addresses.reserve(relays.size());
     for (const auto &relay : relays) {
         addresses.push_back(relay->address());
     }
--- a/tests/test_limits.cpp
+++ b/tests/test_limits.cpp
@@ -356,5 +356,5 @@
     proto::SyncReply reply;
     leader.addStatements(reply, start + milliseconds(2000));
     CHECK(reply.limits_size() == 256);
-    CHECK(reply.ByteSizeLong() <= 256 * 24);
+    CHECK(reply.ByteSizeLong() <= std::size_t{256} * 24);
 }
--- a/tests/test_platform.cpp
+++ b/tests/test_platform.cpp
@@ -139,8 +139,11 @@
     };
     for (const std::string &entry : odd) {
         CAPTURE(entry.substr(0, 100));
-        for (const std::string &entries : {sound + "," + entry, entry + "," + sound}) {
-            const auto page = decodeServerListPage("{\"Instances\":{" + entries + "},\"NextToken\":null}", regions);
+        const std::vector<std::vector<std::string>> orders{{sound, entry}, {entry, sound}};
+        for (const auto &order : orders) {
+            std::string text = R"({"Instances":{)";
+            text.append(order[0]).append(",").append(order[1]).append(R"(},"NextToken":null})");
+            const auto page = decodeServerListPage(text, regions);
             REQUIRE(page);
             CHECK(page->servers.size() == 1);
             CHECK(page->servers.contains("i-1"));
