--- a/tests/soak.py
+++ b/tests/soak.py
@@ -273,6 +273,8 @@
             all(name in full for name in self.servers if self.servers[name]["Zone"] == zone) for zone in ZONES)
 
     async def crash_server(self, name):
+        if not self.proxies[name].listener:
+            return  # another request has crashed it since this crash was scheduled
         with self.fault(name):
             self.proxies[name].crash()
             await asyncio.sleep(self.random.uniform(1.0, 2.0))
