--- a/gateway/state.cpp
+++ b/gateway/state.cpp
@@ -37,8 +37,8 @@
 // Servers whose limits are reported in one Sync call, those heard from last.
 constexpr std::size_t maxReportedLimits = 128;
 
-// Longest time by which a host returns later than a server asked for. Seconds.
-constexpr double maxPauseSpread = 0.5;
+// Longest time by which a host returns later than a server asked for.
+constexpr double maxPauseSpreadSeconds = 0.5;
 
 // Window of the limit on load shifted between regions.
 constexpr double shiftWindowSeconds = 2;
@@ -125,7 +125,8 @@
     }
     if (notice.pause) {
         // Hosts return at different moments, so that the server gets no wave of requests.
-        const std::chrono::duration<double> spread(std::uniform_real_distribution<double>(0, maxPauseSpread)(random));
+        const std::chrono::duration<double> spread(
+            std::uniform_real_distribution<double>(0, maxPauseSpreadSeconds)(random));
         target.state->pausedUntil =
             std::max(target.state->pausedUntil, now + *notice.pause + std::chrono::duration_cast<Duration>(spread));
         logInfo("backend server asked for a pause",
