--- a/review/controlgroup.py
+++ b/review/controlgroup.py
@@ -20,7 +20,7 @@
 DAEMON = os.path.join(REPOSITORY, "target/apps/banyanledged")
 ZONES = {"cardiff": "south-wales", "bangor-b": "north-wales", "aber-prom": "mid-wales", "swansea": "south-wales",
          "wrexham": "north-wales"}
-CONTACT_S, CATCH_UP_S, RECOVERY_S = 3.0, 4.0, 15.0  # bounds of the small deployment coffi-hub
+CATCH_UP_S, RECOVERY_S, GRACE_S = 4.0, 15.0, 6.0  # bounds of the small deployment coffi-hub
 CALL_TIMEOUT_S = 1.0  # the operator moves on to another host after this time
 METRICS_PORT = 7741  # named in deploy/control.ini
 
@@ -144,6 +144,12 @@
         self.processes.pop(number).wait()
         self.log("core-%d is killed" % number)
 
+    def stop(self, number):
+        """Planned end: SIGTERM, and no return."""
+        self.processes[number].send_signal(signal.SIGTERM)
+        self.processes.pop(number).wait(GRACE_S)
+        self.log("core-%d has ended after SIGTERM" % number)
+
     def lose_disk(self, number):
         shutil.rmtree(self.data_folder(number))
         self.log("core-%d loses its disk" % number)
@@ -242,7 +248,7 @@
         held = case(group, os.environ.get("TROUBLE", "1") != "0")
         group.log("the rule held" if held else "the rule is broken")
         return 0 if held else 1
-    except (CannotRun, OSError) as error:
+    except (CannotRun, OSError, subprocess.TimeoutExpired) as error:
         print("cannot run:", error)
         return 2
     finally:
