--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: the same without the replacements.
+exec python3 "$(dirname "$0")/case.py"
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: the same without lost disks.
+# Exit code: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: the same without the freeze.
 exec python3 "$(dirname "$0")/case.py"
