--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,7 +5,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.dont_write_bytecode = True
-from controlgroup import CATCH_UP_S, RECOVERY_S, CannotRun, run_case  # noqa: E402
+from controlgroup import ACK_S, CATCH_UP_S, RECOVERY_S, CannotRun, run_case  # noqa: E402
 
 DOWN_S = 1.5
 
@@ -25,9 +25,8 @@
         time.sleep(DOWN_S)
         group.start(number)
         time.sleep(2 * CATCH_UP_S)
-    group.put(2, 4)
-    version = group.read_back(RECOVERY_S)
-    return version is not None and version >= 1
+    group.put(2, ACK_S)
+    return group.keeps_newest(RECOVERY_S)
 
 
-sys.exit(run_case(case, os.path.join(os.path.dirname(os.path.abspath(__file__)), os.environ.get("RECORD", "record.txt"))))
+sys.exit(run_case(case, os.path.dirname(os.path.abspath(__file__))))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -31,16 +31,14 @@
     if trouble:
         group.pause(frozen, resume=True)
     time.sleep(2 * CATCH_UP_S)
-    if not group.put(2, 4):
-        return False
+    group.change(2)
     for number in others:
         group.kill(number)
         group.lose_disk(number)
     time.sleep(DOWN_S)
     for number in others:
         group.start(number)
-    version = group.read_back(RECOVERY_S)
-    return version is not None and version >= 2
+    return group.keeps_newest(RECOVERY_S)
 
 
-sys.exit(run_case(case, os.path.join(os.path.dirname(os.path.abspath(__file__)), os.environ.get("RECORD", "record.txt"))))
+sys.exit(run_case(case, os.path.dirname(os.path.abspath(__file__))))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -20,8 +20,7 @@
     group.start(6)
     time.sleep(2 * CATCH_UP_S)
     group.stop(replaced)
-    if not group.put(2, 4):
-        return False
+    group.change(2)
     for number in (first, second):
         group.kill(number)
         if trouble:
@@ -29,8 +28,7 @@
     time.sleep(DOWN_S)
     for number in (first, second):
         group.start(number)
-    version = group.read_back(RECOVERY_S)
-    return version is not None and version >= 2
+    return group.keeps_newest(RECOVERY_S)
 
 
-sys.exit(run_case(case, os.path.join(os.path.dirname(os.path.abspath(__file__)), os.environ.get("RECORD", "record.txt"))))
+sys.exit(run_case(case, os.path.dirname(os.path.abspath(__file__))))
--- a/review/controlgroup.py
+++ b/review/controlgroup.py
@@ -12,15 +12,16 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
+import traceback
 
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 DAEMON = os.path.join(REPOSITORY, "target/apps/banyanledged")
-ZONES = {"cardiff": "south-wales", "bangor-b": "north-wales", "aber-prom": "mid-wales", "swansea": "south-wales",
-         "wrexham": "north-wales"}
-CATCH_UP_S, RECOVERY_S, GRACE_S = 4.0, 15.0, 6.0  # bounds of the small deployment coffi-hub
+ZONES = {"zone-1": "south", "zone-2": "north", "zone-3": "middle", "zone-4": "south", "zone-5": "north"}
+ACK_S, CATCH_UP_S, RECOVERY_S, GRACE_S = 4.0, 4.0, 15.0, 6.0  # bounds of the small deployment coffi-hub
 CALL_TIMEOUT_S = 1.0  # the operator moves on to another host after this time
 METRICS_PORT = 7741  # named in deploy/control.ini
 
@@ -68,7 +69,7 @@
     """The platform's list with one backend server."""
 
     def __init__(self):
-        entry = {"Service": "svc", "Address": "127.0.0.1:9", "Zone": "cardiff", "Version": "v1", "Slots": 4,
+        entry = {"Service": "svc", "Address": "127.0.0.1:9", "Zone": "zone-1", "Version": "v1", "Slots": 4,
                  "State": "ready", "WarmupLeftMs": 0}
         body = json.dumps({"Instances": {"i-1": entry}, "NextToken": None}).encode()
 
@@ -93,24 +94,29 @@
 
 class ControlGroup:
     def __init__(self, record_path):
-        self.record = open(record_path, "w")
         self.start_time = time.monotonic()
-        self.folder = tempfile.mkdtemp(prefix="banyanledge-review-")
-        self.platform = Platform()
         network = "127.%d.%d" % (1 + os.getpid() // 250 % 250, 1 + os.getpid() % 250)
         self.addresses = {number: "%s.%d" % (network, number) for number in range(1, 8)}
         if not all(is_free(address, METRICS_PORT) for address in self.addresses.values()):
             raise CannotRun("port %d is in use" % METRICS_PORT)
         self.rpc_port, self.control_port = free_ports(2, self.addresses.values())
         self.processes, self.seeds = {}, [1, 2, 3]
+        self.acknowledged = 0  # newest version of the desired state that was acknowledged
         if not os.access(DAEMON, os.X_OK):
             raise CannotRun("build the system first: " + DAEMON + " is missing")
+        self.record = open(record_path, "w")
+        self.folder = tempfile.mkdtemp(prefix="banyanledge-review-")
+        self.platform = Platform()
+        self.write_record("calls of the operator and their answers; no client sends requests, so no server runs any")
 
     def log(self, text):
+        print(self.write_record(text), flush=True)
+
+    def write_record(self, text):
         line = "%7.2f s  %s" % (time.monotonic() - self.start_time, text)
-        print(line, flush=True)
         self.record.write(line + "\n")
         self.record.flush()
+        return line
 
     def data_folder(self, number):
         return os.path.join(self.folder, "data-%d" % number)
@@ -145,9 +151,13 @@
         self.log("core-%d is killed" % number)
 
     def stop(self, number):
-        """Planned end: SIGTERM, and no return."""
+        """Planned end: SIGTERM, after GraceS SIGKILL, and no return."""
         self.processes[number].send_signal(signal.SIGTERM)
-        self.processes.pop(number).wait(GRACE_S)
+        try:
+            self.processes[number].wait(GRACE_S)
+        except subprocess.TimeoutExpired:
+            self.processes[number].kill()
+        self.processes.pop(number).wait()
         self.log("core-%d has ended after SIGTERM" % number)
 
     def lose_disk(self, number):
@@ -200,7 +210,9 @@
         while time.monotonic() < end:
             number = numbers[attempt % len(numbers)]
             status, _ = self.call(number, "POST", "/api/config/put", self.declaration(version))
+            self.write_record("POST /api/config/put, version %d, to core-%d: %d" % (version, number, status))
             if status == 200:
+                self.acknowledged = max(self.acknowledged, version)
                 self.log("version %d is acknowledged by core-%d" % (version, number))
                 return True
             attempt += 1
@@ -208,20 +220,23 @@
         self.log("version %d is not acknowledged in %.0f s" % (version, timeout_s))
         return False
 
-    def read_back(self, timeout_s):
-        """Asks one host after the other for the desired state; the version, or None if it doesn't come."""
+    def keeps_newest(self, timeout_s):
+        """Reads the desired state back from one host after the other. False if it doesn't come in time, is older than the
+        newest acknowledged version or isn't what was sent."""
         end, numbers, attempt, statuses = time.monotonic() + timeout_s, sorted(self.processes), 0, {}
         while time.monotonic() < end:
-            status, body = self.call(numbers[attempt % len(numbers)], "GET", "/api/config/get")
+            number = numbers[attempt % len(numbers)]
+            status, body = self.call(number, "GET", "/api/config/get")
             statuses[status] = statuses.get(status, 0) + 1
+            self.write_record("GET /api/config/get to core-%d: %d" % (number, status))
             if status == 200:
                 version = int(json.loads(body)["Version"], 16)
-                self.log("version %d is read back from core-%d" % (version, numbers[attempt % len(numbers)]))
-                return version
+                self.log("version %d is read back from core-%d" % (version, number))
+                return version >= self.acknowledged and body == self.declaration(version)
             attempt += 1
             time.sleep(0.1)
         self.log("no desired state is read back in %.0f s; answers by status (0: none): %s" % (timeout_s, statuses))
-        return None
+        return False
 
     def begin(self):
         """Starts five hosts with empty disks and waits until all are voters."""
@@ -231,26 +246,35 @@
             raise CannotRun("the group did not start")
         time.sleep(CATCH_UP_S + 2)
 
+    def change(self, version):
+        """Changes the desired state; what the case shows afterwards needs the ack."""
+        if not self.put(version, ACK_S):
+            raise CannotRun("version %d has no ack before the final fault" % version)
+
     def end(self):
         for number in list(self.processes):
             self.kill(number)
         self.platform.server.shutdown()
-        if not os.environ.get("KEEP"):
-            shutil.rmtree(self.folder, ignore_errors=True)
+        shutil.rmtree(self.folder, ignore_errors=True)
         self.record.close()
 
 
-def run_case(case, record_path):
-    """Runs `case(group, trouble)`, which returns whether the rule held, and returns the exit code."""
+def run_case(case, folder):
+    """Runs `case(group, trouble)`, which returns whether the rule held, and returns the exit code. The record is written
+    to the folder, or to the file that RECORD names."""
     group = None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        group = ControlGroup(record_path)
+        group = ControlGroup(os.environ.get("RECORD", os.path.join(folder, "record.txt")))
         held = case(group, os.environ.get("TROUBLE", "1") != "0")
         group.log("the rule held" if held else "the rule is broken")
         return 0 if held else 1
-    except (CannotRun, OSError, subprocess.TimeoutExpired) as error:
+    except CannotRun as error:
         print("cannot run:", error)
         return 2
+    except Exception:
+        traceback.print_exc()
+        return 2
     finally:
         if group:
             group.end()
