Name the sender's address in each Raft message, so that a host without a log can answer any leader

A control host that comes back with an empty disk never becomes a voter again while the leader is not one of its seeds. Each lost disk costs a vote; in the end no leader is elected, and no request is served.

Cause: an empty host knows only its seeds' addresses. RaftPeers::send drops its answers to the leader, so the leader never sends the log that holds the other addresses.

Change: messages carry from_address, which RaftPeers uses for hosts that the member list does not name. Dropped messages are counted in a metric.

--- a/control/host.cpp
+++ b/control/host.cpp
@@ -89,6 +89,7 @@
 public:
     explicit Private(proto::Settings initialSettings)
         : settings(std::move(initialSettings))
+        , peers(settings.host().rpc_listen())
     {
     }
     ~Private();
@@ -138,7 +139,7 @@
     leaderTasks = std::make_unique<LeaderTasks>(*node, *sync);
     tokenRelay = std::make_unique<TokenRelay>(loop, settings.host().rpc_listen(),
                                               [this] { return sync->status().leader_address(); });
-    services = std::make_unique<ControlServices>(loop, *node, *sync, *tokenRelay);
+    services = std::make_unique<ControlServices>(loop, *node, peers, *sync, *tokenRelay);
     node->onChange([this] { onNodeChange(); });
     scheduleTick();
     thread = std::thread([this] { loop.run(); });
--- a/control/peers.cpp
+++ b/control/peers.cpp
@@ -34,9 +34,15 @@
 
 struct Peer
 {
-    std::string address;
+    std::string listedAddress; // from the member list; empty if it does not name the host
+    std::string learnedAddress; // from the host's own messages
     std::vector<proto::RaftMessage> queue;
     std::set<grpc::ClientContext *> activeCalls;
+
+    const std::string &address() const
+    {
+        return listedAddress.empty() ? learnedAddress : listedAddress;
+    }
 };
 
 struct Delivery
@@ -53,6 +59,7 @@
 class RaftPeers::Private
 {
 public:
+    std::string ownAddress;
     std::mutex mutex;
     std::condition_variable idle;
     std::map<std::string, Peer> peers;
@@ -76,12 +83,13 @@
     milliseconds timeout = deliverTimeout;
     for (auto &message : peer.queue) {
         timeout = message.kind() == proto::RaftMessage::SNAPSHOT ? snapshotTimeout : timeout;
+        message.set_from_address(ownAddress);
         *delivery->batch.add_messages() = std::move(message);
     }
     peer.queue.clear();
     delivery->context.set_deadline(std::chrono::system_clock::now() + timeout);
-    delivery->address = peer.address;
-    delivery->stub = proto::Raft::NewStub(channels.channel(peer.address, Clock::now()));
+    delivery->address = peer.address();
+    delivery->stub = proto::Raft::NewStub(channels.channel(delivery->address, Clock::now()));
     peer.activeCalls.insert(&delivery->context);
     ++activeCalls;
     return delivery;
@@ -117,9 +125,10 @@
     idle.notify_all();
 }
 
-RaftPeers::RaftPeers()
+RaftPeers::RaftPeers(std::string ownAddress)
     : d(std::make_unique<Private>())
 {
+    d->ownAddress = std::move(ownAddress);
 }
 
 RaftPeers::~RaftPeers()
@@ -130,15 +139,25 @@
 void RaftPeers::setAddress(const std::string &id, const std::string &address)
 {
     const std::lock_guard lock(d->mutex);
-    d->peers[id].address = address;
+    d->peers[id].listedAddress = address;
+}
+
+void RaftPeers::learnAddress(const std::string &id, const std::string &address)
+{
+    const std::lock_guard lock(d->mutex);
+    d->peers[id].learnedAddress = address;
 }
 
 void RaftPeers::send(const proto::RaftMessage &message)
 {
     {
         const std::lock_guard lock(d->mutex);
+        if (d->stopped) {
+            return;
+        }
         const auto found = d->peers.find(message.to());
-        if (found == d->peers.end() || d->stopped) {
+        if (found == d->peers.end() || found->second.address().empty()) {
+            countMetric("banyanledge_raft_unaddressed_total", {{"peer", message.to()}});
             return;
         }
         auto &queue = found->second.queue;
--- a/control/peers.h
+++ b/control/peers.h
@@ -12,14 +12,20 @@
 class RaftPeers
 {
 public:
-    RaftPeers();
+    // `ownAddress` is sent with each message, so that its receiver can answer without a member list.
+    explicit RaftPeers(std::string ownAddress);
     ~RaftPeers();
 
-    // Sets the address of a member. Messages to unknown members are dropped, which Raft tolerates.
+    // Sets the address of a member as named in the member list. It goes before an address learned from a message.
     void setAddress(const std::string &id, const std::string &address);
 
+    // Records the address that a received message names for its sender. A host with an empty disk knows no other
+    // address of a leader that is none of its seeds.
+    void learnAddress(const std::string &id, const std::string &address);
+
     // Sends a message in a call of its own, or together with others once one of several outstanding calls has ended.
-    // Messages may arrive in another order.
+    // Messages may arrive in another order. A message to a host without a known address is counted and dropped, which
+    // Raft tolerates.
     void send(const proto::RaftMessage &message);
 
     // Drops the queued messages, cancels the outstanding calls and waits until they have ended.
--- a/control/service.cpp
+++ b/control/service.cpp
@@ -19,8 +19,9 @@
 class RaftService final : public proto::Raft::CallbackService
 {
 public:
-    explicit RaftService(Node &node)
+    RaftService(Node &node, RaftPeers &peers)
         : m_node(node)
+        , m_peers(peers)
     {
     }
 
@@ -28,6 +29,9 @@
                                       proto::Empty *) override
     {
         for (const auto &message : batch->messages()) {
+            if (!message.from_address().empty()) {
+                m_peers.learnAddress(message.from(), message.from_address());
+            }
             m_node.deliver(message);
         }
         auto *reactor = context->DefaultReactor();
@@ -37,6 +41,7 @@
 
 private:
     Node &m_node;
+    RaftPeers &m_peers;
 };
 
 class ControlService final : public proto::Control::CallbackService
@@ -206,8 +211,8 @@
 class ControlServices::Private
 {
 public:
-    Private(asio::io_context &loop, Node &node, SyncHandler &sync, TokenRelay &tokenRelay)
-        : raft(node)
+    Private(asio::io_context &loop, Node &node, RaftPeers &peers, SyncHandler &sync, TokenRelay &tokenRelay)
+        : raft(node, peers)
         , control(loop, node, sync, tokenRelay)
     {
     }
@@ -216,8 +221,9 @@
     ControlService control;
 };
 
-ControlServices::ControlServices(asio::io_context &loop, Node &node, SyncHandler &sync, TokenRelay &tokenRelay)
-    : d(std::make_unique<Private>(loop, node, sync, tokenRelay))
+ControlServices::ControlServices(asio::io_context &loop, Node &node, RaftPeers &peers, SyncHandler &sync,
+                                 TokenRelay &tokenRelay)
+    : d(std::make_unique<Private>(loop, node, peers, sync, tokenRelay))
 {
 }
 
--- a/control/service.h
+++ b/control/service.h
@@ -9,6 +9,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "control/peers.h"
 #include "control/sync.h"
 #include "control/tokenrelay.h"
 #include "ledger/node.h"
@@ -20,7 +21,7 @@
 {
 public:
     // `loop` is the event loop on which the methods of `sync` have to be called.
-    ControlServices(asio::io_context &loop, Node &node, SyncHandler &sync, TokenRelay &tokenRelay);
+    ControlServices(asio::io_context &loop, Node &node, RaftPeers &peers, SyncHandler &sync, TokenRelay &tokenRelay);
     ~ControlServices();
 
     std::vector<grpc::Service *> services();
--- a/tests/control.cmake
+++ b/tests/control.cmake
@@ -7,3 +7,4 @@
 # Benchmark: prints the cost of Sync calls on the leader as a JSON line.
 add_executable(bench_sync bench_sync.cpp)
 target_link_libraries(bench_sync PRIVATE banyan_control)
+banyan_test(test_members truth test_members.cpp LINK banyan_control)
