Remove silent voters also when only several removals together make the quorum smaller

After two control hosts were replaced at the same time, both dead hosts stayed voters. The loss of two disks later ended the group, although five hosts ran.

Cause: removeUnreachableVoter acted only at an even number of voters. From seven to six the quorum stays four, so it never began.

In test_raft 3 of the new checks failed before this change: 7 of 7, 9 of 9 and 9 of 9 members were left instead of 5, 5 and 7.

Change: compare the quorum now with the quorum once all silent voters that can be spared are removed; the voter silent longest goes first. The test that held the old rule is replaced by one that keeps its four checks and adds six.

--- a/ledger/raft.h
+++ b/ledger/raft.h
@@ -26,7 +26,7 @@
     // Minimum; each timeout is chosen at random from once to twice this, and from a wider range after failed elections.
     Duration electionTimeout = milliseconds(300);
     std::uint64_t seed = 0; // seed of the random election timeouts
-    // The leader removes a voter that has not answered for this long, if that makes the quorum smaller and the quorum
+    // The leader removes voters that have not answered for this long, if the quorum becomes smaller without them and
     // stays at least minQuorum. Without this, a replaced host would stay in the group as a dead voter. 0 disables it.
     Duration removeUnreachableAfter{};
     std::size_t minQuorum = 1; // voters
@@ -169,6 +169,7 @@
     void replicateTo(const std::string &id, Progress &progress, Time now);
     void sendHeartbeats(Time now);
     void updateMembership(Time now);
+    std::vector<proto::LogMember> unreachableVoters(Time now) const;
     bool removeUnreachableVoter(Time now);
     void rebuildProgress(Time now);
     std::uint64_t appendEntry(proto::LogEntry entry);
--- a/ledger/raftleader.cpp
+++ b/ledger/raftleader.cpp
@@ -28,6 +28,18 @@
         std::count_if(members.begin(), members.end(), [](const auto &member) { return member.voter(); }));
 }
 
+// Number of voters that make a majority.
+std::size_t quorumOf(std::size_t voters)
+{
+    return voters / 2 + 1;
+}
+
+// Smallest number of voters whose majority is `quorum`.
+std::size_t fewestVoters(std::size_t quorum)
+{
+    return 2 * (quorum - 1);
+}
+
 proto::LogMember *findMember(proto::LogConfig &config, const std::string &id)
 {
     for (auto &member : *config.mutable_members()) {
@@ -154,22 +166,37 @@
     }
 }
 
-// Removes a voter that has not answered for too long. Removing one voter makes the quorum smaller only if the number of
-// voters is even.
-bool Raft::removeUnreachableVoter(Time now)
+// Returns the voters that have not answered for removeUnreachableAfter, the one that has been silent longest first.
+std::vector<proto::LogMember> Raft::unreachableVoters(Time now) const
 {
-    const std::size_t voters = voterCount(m_log.config());
-    if (m_options.removeUnreachableAfter == Duration(0) || voters % 2 != 0 || voters / 2 < m_options.minQuorum) {
-        return false;
-    }
+    std::vector<proto::LogMember> unreachable;
     for (const auto &voter : m_log.config().members()) {
         const auto found = m_progress.find(voter.id());
         if (voter.voter() && found != m_progress.end()
             && now >= found->second.lastContact + m_options.removeUnreachableAfter) {
-            return changeMember(voter, true).has_value();
+            unreachable.push_back(voter);
         }
     }
-    return false;
+    std::stable_sort(unreachable.begin(), unreachable.end(), [this](const auto &a, const auto &b) {
+        return m_progress.at(a.id()).lastContact < m_progress.at(b.id()).lastContact;
+    });
+    return unreachable;
+}
+
+// Removes the voter that has been silent longest, if the quorum is smaller once all silent voters that the group can
+// spare are removed. One removal alone need not make it smaller: two of seven voters may be gone.
+bool Raft::removeUnreachableVoter(Time now)
+{
+    if (m_options.removeUnreachableAfter == Duration(0)) {
+        return false;
+    }
+    const auto unreachable = unreachableVoters(now);
+    const std::size_t voters = voterCount(m_log.config());
+    const std::size_t remaining = std::max(voters - unreachable.size(), fewestVoters(m_options.minQuorum));
+    if (unreachable.empty() || quorumOf(remaining) >= quorumOf(voters)) {
+        return false;
+    }
+    return changeMember(unreachable.front(), true).has_value();
 }
 
 // Updates m_progress to the current members: removes former members, adds new ones, and resets those with a new data
--- a/tests/test_raft.cpp
+++ b/tests/test_raft.cpp
@@ -338,9 +338,9 @@
 namespace
 {
 
-// Runs the leader of a group of `voters` members, the last of which never replies, for 6 s. Returns the config after
-// that.
-proto::LogConfig configWithUnreachableVoter(int voters, std::size_t minQuorum)
+// Runs the leader of a group of `voters` members, the last `unreachable` of which never reply, for 6 s. Returns the
+// number of members after that.
+int membersLeft(int voters, int unreachable, std::size_t minQuorum)
 {
     RaftState state;
     for (int i = 1; i <= voters; ++i) {
@@ -361,7 +361,10 @@
     options.minQuorum = minQuorum;
     Time now{};
     Raft raft(options, state, now);
-    const std::string unreachable = "c" + std::to_string(voters);
+    std::set<std::string> silent;
+    for (int i = voters - unreachable + 1; i <= voters; ++i) {
+        silent.insert("c" + std::to_string(i));
+    }
     for (int step = 0; step < 600; ++step) {
         now += milliseconds(10);
         raft.tick(now);
@@ -369,7 +372,7 @@
         raft.persisted(now);
         output.messages.insert(output.messages.end(), output.heartbeats.begin(), output.heartbeats.end());
         for (const auto &request : output.messages) {
-            if (request.to() == unreachable) {
+            if (silent.contains(request.to())) {
                 continue;
             }
             proto::RaftMessage reply;
@@ -389,17 +392,23 @@
         }
     }
     REQUIRE(raft.role() == Raft::Role::Leader);
-    return raft.log().config();
+    return raft.log().config().members_size();
 }
 
 } // namespace
 
-// Guards against a dead member that stays in the group after its replacement joined, and against a group that shrinks
-// until an acknowledged entry is stored on too few disks.
-TEST_CASE("an unreachable voter is removed only if the quorum shrinks and stays large enough")
+// Guards against dead members that stay in the group after their successors joined, whether the number of voters is
+// even or odd, and against a group that shrinks until an acknowledged entry is stored on too few disks.
+TEST_CASE("unreachable voters are removed only if the quorum shrinks without them and stays large enough")
 {
-    CHECK(configWithUnreachableVoter(6, 3).members_size() == 5);
-    CHECK(configWithUnreachableVoter(5, 3).members_size() == 5);
-    CHECK(configWithUnreachableVoter(4, 3).members_size() == 4);
-    CHECK(configWithUnreachableVoter(4, 2).members_size() == 3);
+    CHECK(membersLeft(6, 1, 3) == 5);
+    CHECK(membersLeft(5, 1, 3) == 5);
+    CHECK(membersLeft(4, 1, 3) == 4);
+    CHECK(membersLeft(4, 1, 2) == 3);
+    CHECK(membersLeft(7, 2, 3) == 5);
+    CHECK(membersLeft(7, 1, 3) == 7);
+    CHECK(membersLeft(6, 2, 3) == 5);
+    CHECK(membersLeft(5, 2, 3) == 5);
+    CHECK(membersLeft(9, 4, 3) == 5);
+    CHECK(membersLeft(9, 4, 4) == 7);
 }
