Let a host ask to be added while no leader contacts it, whatever its own member list says

A control host that was cut off or frozen while another was replaced stayed out of the group for good and answered all reads with 503. Two lost disks later ended the group.

Cause: the leader had removed the host as the silent sixth voter. It sends nothing to hosts that are no members, and the host's own list still named it, so that GroupJoiner never asked.

Change: GroupJoiner asks while no leader contacts the host, and asks the members of the host's list besides its seeds, which may all be dead. Declarations are read and changed through the same contacts. Repeated outcomes are logged once in 10 s.

--- a/control/host.cpp
+++ b/control/host.cpp
@@ -15,6 +15,7 @@
 #include "base/settings.h"
 #include "base/timer.h"
 #include "control/api.h"
+#include "control/contacts.h"
 #include "control/declarations.h"
 #include "control/join.h"
 #include "control/leader.h"
@@ -90,6 +91,8 @@
     explicit Private(proto::Settings initialSettings)
         : settings(std::move(initialSettings))
         , peers(settings.host().rpc_listen())
+        , contacts(settings.host().rpc_listen(),
+                   withPort(settings.control().seeds(), settings.control().seed_rpc_port()))
     {
     }
     ~Private();
@@ -108,6 +111,7 @@
     Timer timer{loop.get_executor()};
     std::atomic<bool> syncTickPosted = false;
     RaftPeers peers;
+    GroupContacts contacts;
     std::optional<Node> node;
     std::unique_ptr<SyncHandler> sync;
     std::unique_ptr<LeaderTasks> leaderTasks;
@@ -183,12 +187,12 @@
 bool ControlHost::Private::start()
 {
     const auto &control = settings.control();
-    leader = std::make_unique<LeaderClient>([this] { return node->status().leader_address(); });
+    leader = std::make_unique<LeaderClient>([this] { return node->status().leader_address(); },
+                                            [this] { return contacts.next(node->status().config()); });
     declarations = std::make_unique<Declarations>(*leader);
     if (!control.seeds().empty()) {
-        joiner = std::make_unique<GroupJoiner>(settings.host().rpc_listen(),
-                                               withPort(control.seeds(), control.seed_rpc_port()),
-                                               [this] { return node->status(); });
+        joiner =
+            std::make_unique<GroupJoiner>(settings.host().rpc_listen(), contacts, [this] { return node->status(); });
     }
     if (readPlatformList || !settings.platform().list_url().empty()) {
         startPlatformPoller();
@@ -292,9 +296,7 @@
 
 void ControlHost::setSeeds(const std::vector<std::string> &addresses)
 {
-    if (d->joiner) {
-        d->joiner->setSeeds(addresses);
-    }
+    d->contacts.setSeeds(addresses);
 }
 
 std::vector<grpc::Service *> ControlHost::services()
--- a/control/join.cpp
+++ b/control/join.cpp
@@ -1,8 +1,8 @@
 #include "control/join.h"
 
-#include <algorithm>
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 #include "base/error.h"
@@ -15,75 +15,98 @@
 namespace
 {
 
-// Interval of the checks whether this host is a member. Short, because a new host has to hold a copy of the table
+// Interval of the checks whether a leader contacts this host. Short, because a new host has to hold a copy of the table
 // within a few seconds.
 constexpr milliseconds joinInterval{200};
 
+// Time without a leader after which a host that has a member list asks to be added. An ordinary election is shorter.
+constexpr milliseconds leaderlessTimeout{500};
+
 // Timeout of one request to be added.
 constexpr milliseconds joinTimeout{1000};
 
-bool isMember(const proto::ControlStatus &status, const std::string &address)
-{
-    const auto &members = status.config().members();
-    return std::any_of(members.begin(), members.end(),
-                       [&address](const auto &member) { return member.rpc_address() == address; });
-}
+// Interval at which the same outcome of repeated requests is logged again.
+constexpr milliseconds repeatedLogInterval{10000};
 
 } // namespace
 
+bool mustRequestJoin(const proto::ControlStatus &status, Duration leaderless)
+{
+    return status.leader().empty() && (status.config().members().empty() || leaderless >= leaderlessTimeout);
+}
+
 class GroupJoiner::Private
 {
 public:
-    void run();
-    std::string nextAddress();
+    Private(std::string initialAddress, GroupContacts &initialContacts,
+            std::function<proto::ControlStatus()> initialStatus)
+        : ownAddress(std::move(initialAddress))
+        , contacts(initialContacts)
+        , status(std::move(initialStatus))
+    {
+    }
 
-    std::string ownAddress;
-    std::function<proto::ControlStatus()> status;
-    std::mutex mutex; // guards `seeds`, `nextSeed` and `stopping`
-    std::vector<std::string> seeds;
-    std::size_t nextSeed = 0;
+    void run();
+    void check(LeaderClient &client, Time now);
+    void logOutcome(const proto::CommandResult &result, Time now);
+
+    const std::string ownAddress;
+    GroupContacts &contacts;
+    const std::function<proto::ControlStatus()> status;
+    Time lastLeaderTime{}; // last check at which a leader was known
+    std::optional<proto::ErrorKind> loggedOutcome;
+    Time loggedTime{};
+    std::mutex mutex; // guards `stopping`
     bool stopping = false;
     std::condition_variable wake;
     std::thread thread;
 };
 
-// Returns the leader's address if it is known and not this host's own, otherwise the seeds in turn.
-std::string GroupJoiner::Private::nextAddress()
-{
-    std::string leader = status().leader_address();
-    const std::lock_guard lock(mutex);
-    if ((!leader.empty() && leader != ownAddress) || seeds.empty()) {
-        return leader;
-    }
-    return seeds[nextSeed++ % seeds.size()];
-}
-
 void GroupJoiner::Private::run()
 {
-    LeaderClient client([this] { return nextAddress(); });
+    LeaderClient client([this] { return status().leader_address(); },
+                        [this] { return contacts.next(status().config()); });
+    lastLeaderTime = Clock::now();
     std::unique_lock lock(mutex);
     while (!stopping) {
         lock.unlock();
-        if (!isMember(status(), ownAddress)) {
-            proto::ChangeMembersRequest request;
-            request.mutable_member()->set_id(ownAddress);
-            request.mutable_member()->set_rpc_address(ownAddress);
-            const auto result = client.changeMember(request, Clock::now() + joinTimeout);
-            logInfo("requested to join the control group",
-                    {{"result", kindName(result.kind())}, {"message", result.message()}});
-        }
+        check(client, Clock::now());
         lock.lock();
         wake.wait_for(lock, joinInterval, [this] { return stopping; });
     }
 }
 
-GroupJoiner::GroupJoiner(std::string ownAddress, std::vector<std::string> seeds,
-                         std::function<proto::ControlStatus()> status)
-    : d(std::make_unique<Private>())
+void GroupJoiner::Private::check(LeaderClient &client, Time now)
+{
+    const auto current = status();
+    if (!current.leader().empty()) {
+        lastLeaderTime = now;
+        loggedOutcome.reset();
+    }
+    if (!mustRequestJoin(current, now - lastLeaderTime)) {
+        return;
+    }
+    proto::ChangeMembersRequest request;
+    request.mutable_member()->set_id(ownAddress);
+    request.mutable_member()->set_rpc_address(ownAddress);
+    logOutcome(client.changeMember(request, now + joinTimeout), now);
+}
+
+// A host that can't reach its group repeats the request for as long as that lasts, so that not each outcome is logged.
+void GroupJoiner::Private::logOutcome(const proto::CommandResult &result, Time now)
+{
+    if (loggedOutcome == result.kind() && now < loggedTime + repeatedLogInterval) {
+        return;
+    }
+    loggedOutcome = result.kind();
+    loggedTime = now;
+    logInfo("requested to join the control group",
+            {{"result", kindName(result.kind())}, {"message", result.message()}});
+}
+
+GroupJoiner::GroupJoiner(std::string ownAddress, GroupContacts &contacts, std::function<proto::ControlStatus()> status)
+    : d(std::make_unique<Private>(std::move(ownAddress), contacts, std::move(status)))
 {
-    d->ownAddress = std::move(ownAddress);
-    d->seeds = std::move(seeds);
-    d->status = std::move(status);
     d->thread = std::thread([this] { d->run(); });
 }
 
@@ -97,10 +120,4 @@
     d->thread.join();
 }
 
-void GroupJoiner::setSeeds(std::vector<std::string> seeds)
-{
-    const std::lock_guard lock(d->mutex);
-    d->seeds = std::move(seeds);
-}
-
 } // namespace banyanledge
--- a/control/join.h
+++ b/control/join.h
@@ -1,27 +1,30 @@
-// Adds a control host to the group of control hosts that its seeds belong to.
+// How a control host enters the group of its seeds, returns to it after a removal, and leaves it.
 #pragma once
 
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "base/types.h"
+#include "control/contacts.h"
+#include "ledger/node.h"
 
 namespace banyanledge
 {
 
-// Requests, on its own thread, that the group adds this host, until the host is a member. Requests it again when the
-// host was removed.
+// Returns true if a host with this state has to ask to be added to its group, because no leader has contacted it for
+// `leaderless`. Its own copy of the member list proves nothing: it misses a removal that came while the host was cut
+// off. A host without any members in its log asks at once.
+bool mustRequestJoin(const proto::ControlStatus &status, Duration leaderless);
+
+// Requests, on its own thread, that the group adds this host, for as long as no leader contacts the host.
 class GroupJoiner
 {
 public:
-    // `seeds` are gRPC addresses of members. `status` returns the state of this host; called from the joiner's thread.
-    GroupJoiner(std::string ownAddress, std::vector<std::string> seeds, std::function<proto::ControlStatus()> status);
+    // `status` returns the state of this host; called from the joiner's thread. `contacts` must outlive the joiner.
+    GroupJoiner(std::string ownAddress, GroupContacts &contacts, std::function<proto::ControlStatus()> status);
     ~GroupJoiner();
 
-    void setSeeds(std::vector<std::string> seeds);
-
 private:
     class Private;
     std::unique_ptr<Private> d;
--- a/control/leader.cpp
+++ b/control/leader.cpp
@@ -42,10 +42,12 @@
 {
 public:
     std::function<std::string()> leaderAddress;
+    std::function<std::string()> contactAddress; // may be empty
     ChannelCache channels;
     std::mutex mutex;
     std::map<std::string, CallTimeout> timeouts; // of attempts, by address; guarded by mutex
 
+    std::string nextAddress() const;
     Duration attemptTimeout(const std::string &address);
     void recordAttempt(const std::string &address, const grpc::Status &status, Duration took);
 
@@ -59,6 +61,12 @@
               Reply &reply, Time deadline);
 };
 
+std::string LeaderClient::Private::nextAddress() const
+{
+    const std::string leader = leaderAddress();
+    return leader.empty() && contactAddress ? contactAddress() : leader;
+}
+
 Duration LeaderClient::Private::attemptTimeout(const std::string &address)
 {
     const std::lock_guard lock(mutex);
@@ -101,7 +109,7 @@
 {
     std::string leaderHint;
     while (Clock::now() < deadline) {
-        const std::string address = leaderHint.empty() ? leaderAddress() : leaderHint;
+        const std::string address = leaderHint.empty() ? nextAddress() : leaderHint;
         leaderHint.clear();
         if (!address.empty()) {
             reply.Clear();
@@ -117,10 +125,11 @@
     return false;
 }
 
-LeaderClient::LeaderClient(std::function<std::string()> leaderAddress)
+LeaderClient::LeaderClient(std::function<std::string()> leaderAddress, std::function<std::string()> contactAddress)
     : d(std::make_unique<Private>())
 {
     d->leaderAddress = std::move(leaderAddress);
+    d->contactAddress = std::move(contactAddress);
 }
 
 LeaderClient::~LeaderClient() = default;
--- a/control/leader.h
+++ b/control/leader.h
@@ -14,9 +14,10 @@
 class LeaderClient
 {
 public:
-    // `leaderAddress` returns the leader's gRPC address, or an empty string when this host does not know it. It is
+    // `leaderAddress` returns the leader's gRPC address, or an empty string when this host does not know it.
+    // `contactAddress` returns a host that may know it, which is asked instead; also empty if there is none. Both are
     // called from any thread.
-    explicit LeaderClient(std::function<std::string()> leaderAddress);
+    explicit LeaderClient(std::function<std::string()> leaderAddress, std::function<std::string()> contactAddress = {});
     ~LeaderClient();
 
     // Proposes a command and retries with the same change id until the deadline. Returns ERROR_UNAVAILABLE when no
--- a/ledger/raft.cpp
+++ b/ledger/raft.cpp
@@ -116,6 +116,8 @@
         resetElectionDeadline(now);
         if (canCampaign()) {
             campaign(Role::PreCandidate, now);
+        } else {
+            m_leader.clear();
         }
     }
 }
--- a/ledger/raft.h
+++ b/ledger/raft.h
@@ -119,7 +119,7 @@
     bool isVoter() const; // by the newest members in the log, with this data folder
     std::uint64_t term() const;
     std::uint64_t commit() const; // index of the last committed entry
-    const std::string &leader() const; // empty if unknown
+    const std::string &leader() const; // empty if unknown, or if it has not contacted this member for a timeout
     const RaftLog &log() const;
 
 private:
--- a/tests/test_members.cpp
+++ b/tests/test_members.cpp
@@ -1,5 +1,9 @@
 // Membership of the control group with real control hosts: lost disks, replaced and returning hosts, planned ends.
 // The rules are in section 4.1 of docs/design.md.
+#include <set>
+
+#include "control/contacts.h"
+#include "control/join.h"
 #include "control_group.h"
 
 using namespace banyanledge;
@@ -17,3 +21,57 @@
     group.start(lost, {others[0], others[1], others[2]});
     CHECK(eventually([&] { return group.status(lost).role() == "follower"; }));
 }
+
+// Guards against a host that trusts its own copy of the member list, in which it never sees its removal: it would stay
+// out of the group for good.
+TEST_CASE("a host that was removed while it was away joins again")
+{
+    ControlGroup group(5);
+    const int leader = group.waitLeader();
+    const int away = group.others(leader).front();
+    group.kill(away);
+    group.start(6, {1, 2, 3});
+    REQUIRE(eventually([&] { return group.isVoter(6) && !group.isVoter(away); }));
+    group.start(away, {1, 2, 3});
+    CHECK(eventually([&] { return group.isVoter(away); }));
+}
+
+// Guards against a host that has no leader and answers all reads with "unavailable" although others know the leader.
+TEST_CASE("a host that does not belong to the group yet reads through the leader that others name")
+{
+    ControlGroup group(5);
+    const int leader = group.waitLeader();
+    const auto others = group.others(leader);
+    group.start(6, {others[0], others[1], others[2]});
+    CHECK(group.host(6).declarations()->read(milliseconds(1000)).has_value());
+}
+
+// Guards against a host that asks only its seeds for the group, which may all be gone.
+TEST_CASE("a host asks its seeds and the members of its list in turn, but never itself")
+{
+    proto::LogConfig members;
+    for (const char *address : {"a:1", "b:1", "c:1"}) {
+        members.add_members()->set_rpc_address(address);
+    }
+    GroupContacts contacts("a:1", {"s:1", "b:1", "a:1"});
+    std::multiset<std::string> asked;
+    for (int i = 0; i < 6; ++i) {
+        asked.insert(contacts.next(members));
+    }
+    CHECK(asked == std::multiset<std::string>{"b:1", "b:1", "c:1", "c:1", "s:1", "s:1"});
+    CHECK(contacts.next({}) != "a:1");
+    CHECK(GroupContacts("a:1", {"a:1"}).next({}).empty());
+}
+
+// Guards against a host that asks to be added during each election, and against one that never asks because its own
+// list still names it.
+TEST_CASE("a host asks to be added while no leader contacts it")
+{
+    proto::ControlStatus status;
+    CHECK(mustRequestJoin(status, Duration(0)));
+    status.mutable_config()->add_members()->set_rpc_address("a:1");
+    CHECK_FALSE(mustRequestJoin(status, milliseconds(400)));
+    CHECK(mustRequestJoin(status, milliseconds(600)));
+    status.set_leader("b:1");
+    CHECK_FALSE(mustRequestJoin(status, milliseconds(600)));
+}
