Leave the group before a planned end, after handing over leadership

A control host that was replaced as planned ended and stayed a voter for 3 s; two disks lost meanwhile ended the group for good.

Cause: on SIGTERM a control host only stopped. Its vote stayed until the leader saw the silence, and a leader that ended cost an election.

Change: on SIGTERM a host hands over leadership (TIMEOUT_NOW to the voter that has every entry), then asks to be removed, and waits for both for 2 s at most. The leader refuses if the quorum of the others would be smaller than tolerated_losses + 1.

--- a/apps/banyanledged.cpp
+++ b/apps/banyanledged.cpp
@@ -253,6 +253,9 @@
         host.gateway->stop();
         host.gateway.reset();
     }
+    if (host.control) {
+        host.control->leave();
+    }
     host.declarationServer.reset();
     if (host.control) {
         host.control->stop();
--- a/control/host.cpp
+++ b/control/host.cpp
@@ -38,6 +38,9 @@
 // A voter that is unreachable for this long may be removed from the group. Longer than any restart takes.
 constexpr milliseconds removeUnreachableAfter{3000};
 
+// Longest time that a planned end waits for the group.
+constexpr milliseconds leaveTimeout{2000};
+
 // With seeds, the gRPC address is the member's id, because the address is all that a host knows of the other members.
 std::string memberId(const proto::Settings &settings)
 {
@@ -100,6 +103,7 @@
     bool open();
     bool start();
     void startPlatformPoller();
+    void leave();
     void stop();
     void tick();
     void scheduleTick();
@@ -230,6 +234,14 @@
     platformPoller = std::make_unique<PlatformPoller>(std::move(options));
 }
 
+void ControlHost::Private::leave()
+{
+    if (joiner) {
+        joiner.reset();
+        leaveGroup(*node, *leader, settings.host().rpc_listen(), Clock::now() + leaveTimeout);
+    }
+}
+
 void ControlHost::Private::stop()
 {
     if (stopped) {
@@ -309,6 +321,11 @@
     return d->start();
 }
 
+void ControlHost::leave()
+{
+    d->leave();
+}
+
 void ControlHost::stop()
 {
     d->stop();
--- a/control/host.h
+++ b/control/host.h
@@ -37,6 +37,11 @@
     // with the reason in lastError(), when the operators file or the address can't be used.
     bool start();
 
+    // Leaves the group before a planned end, so that no vote of an ended host stays in it: hands over leadership and
+    // waits for the removal, for at most leaveTimeout. Must be called before stop(), while the gRPC server still runs.
+    // Does nothing without seeds, because the host could not join again.
+    void leave();
+
     // Stops the platform poller, the joining and, after the requests in flight, the HTTP API. Sync calls are refused
     // from then on.
     void stop();
--- a/control/join.cpp
+++ b/control/join.cpp
@@ -7,7 +7,6 @@
 
 #include "base/error.h"
 #include "base/log.h"
-#include "control/leader.h"
 
 namespace banyanledge
 {
@@ -25,6 +24,12 @@
 // Timeout of one request to be added.
 constexpr milliseconds joinTimeout{1000};
 
+// Pause between two checks whether a step of leaving is done.
+constexpr milliseconds leaveInterval{10};
+
+// Time for another host to take over leadership; an election timeout and two round trips.
+constexpr milliseconds handoverTimeout{1000};
+
 // Interval at which the same outcome of repeated requests is logged again.
 constexpr milliseconds repeatedLogInterval{10000};
 
@@ -104,6 +109,28 @@
             {{"result", kindName(result.kind())}, {"message", result.message()}});
 }
 
+void leaveGroup(Node &node, LeaderClient &leader, const std::string &ownAddress, Time deadline)
+{
+    const Time handoverEnd = std::min(deadline, Clock::now() + handoverTimeout);
+    const bool led = node.status().role() == "leader";
+    node.transferLeadership();
+    while (node.status().role() == "leader" && Clock::now() < handoverEnd) {
+        std::this_thread::sleep_for(leaveInterval);
+    }
+    proto::ChangeMembersRequest request;
+    request.mutable_member()->set_id(ownAddress);
+    request.set_remove(true);
+    request.set_leaving(true);
+    proto::CommandResult result = leader.changeMember(request, deadline);
+    // Another change of members may still be on its way, such as the first entry of the new leader.
+    while (result.kind() == proto::ERROR_CONFLICT && Clock::now() < deadline) {
+        std::this_thread::sleep_for(leaveInterval);
+        result = leader.changeMember(request, deadline);
+    }
+    logInfo("asked to leave the control group",
+            {{"led", led ? "yes" : "no"}, {"result", kindName(result.kind())}, {"message", result.message()}});
+}
+
 GroupJoiner::GroupJoiner(std::string ownAddress, GroupContacts &contacts, std::function<proto::ControlStatus()> status)
     : d(std::make_unique<Private>(std::move(ownAddress), contacts, std::move(status)))
 {
--- a/control/join.h
+++ b/control/join.h
@@ -7,6 +7,7 @@
 
 #include "base/types.h"
 #include "control/contacts.h"
+#include "control/leader.h"
 #include "ledger/node.h"
 
 namespace banyanledge
@@ -17,6 +18,11 @@
 // off. A host without any members in its log asks at once.
 bool mustRequestJoin(const proto::ControlStatus &status, Duration leaderless);
 
+// Hands over leadership if this host leads, then asks the group to remove this host, and waits for both until the
+// deadline. The host must end after that, and must not ask to join meanwhile. It stays a member if the others would be
+// too few, or if no leader answers.
+void leaveGroup(Node &node, LeaderClient &leader, const std::string &ownAddress, Time deadline);
+
 // Requests, on its own thread, that the group adds this host, for as long as no leader contacts the host.
 class GroupJoiner
 {
--- a/control/service.cpp
+++ b/control/service.cpp
@@ -16,6 +16,14 @@
 // Number of audit records returned to a reader that sets no limit.
 constexpr std::uint32_t defaultAuditLimit = 1000;
 
+MemberChange kindOf(const proto::ChangeMembersRequest &request)
+{
+    if (!request.remove()) {
+        return MemberChange::Add;
+    }
+    return request.leaving() ? MemberChange::Leave : MemberChange::Remove;
+}
+
 class RaftService final : public proto::Raft::CallbackService
 {
 public:
@@ -93,7 +101,7 @@
     {
         auto *reactor = context->DefaultReactor();
         m_node.changeMember(
-            request->member(), request->remove(),
+            request->member(), kindOf(*request),
             [this, reactor, reply](const proto::CommandResult &result) { finishChange(reactor, reply, result); });
         return reactor;
     }
--- a/ledger/node.cpp
+++ b/ledger/node.cpp
@@ -58,10 +58,15 @@
     d->push(Private::ReadRequest{std::move(done)});
 }
 
-void Node::changeMember(const proto::LogMember &member, bool remove,
+void Node::changeMember(const proto::LogMember &member, MemberChange kind,
                         std::function<void(const proto::CommandResult &)> done)
 {
-    d->push(Private::MemberChange{member, remove, std::move(done)});
+    d->push(Private::MemberRequest{member, kind, std::move(done)});
+}
+
+void Node::transferLeadership()
+{
+    d->push(Private::Handover());
 }
 
 proto::TableContent Node::contentSince(Revision since, bool *snapshot) const
--- a/ledger/node.h
+++ b/ledger/node.h
@@ -9,6 +9,7 @@
 
 #include "base/error.h"
 #include "base/types.h"
+#include "ledger/raft.h"
 #include "ledger/table.h"
 
 namespace banyanledge
@@ -54,12 +55,14 @@
     // before that round was applied. Calls it with nullopt when this member is not the leader.
     void readIndex(std::function<void(std::optional<Revision>)> done);
 
-    // Adds, updates or removes one member. Only one change may be in progress at a time. A new member is added as a
-    // learner; the leader promotes it to voter once it has synced every committed entry. `done` is called as for
-    // propose().
-    void changeMember(const proto::LogMember &member, bool remove,
+    // Changes one member. Only one change may be in progress at a time. A new member is added as a learner; the leader
+    // promotes it to voter once it has synced every committed entry. `done` is called as for propose().
+    void changeMember(const proto::LogMember &member, MemberChange kind,
                       std::function<void(const proto::CommandResult &)> done);
 
+    // Hands over leadership if this member leads, see Raft::transferLeadership().
+    void transferLeadership();
+
     // Returns the objects changed after revision `since`, or the whole table when `since` is 0 or older than the
     // retained tombstones. Sets `*snapshot` to true in the second case.
     proto::TableContent contentSince(Revision since, bool *snapshot) const;
--- a/ledger/nodeloop.cpp
+++ b/ledger/nodeloop.cpp
@@ -169,8 +169,10 @@
     } else if (auto *read = std::get_if<ReadRequest>(&input)) {
         pendingReads[nextReadId] = std::move(read->done);
         raft.read(nextReadId++);
-    } else if (auto *change = std::get_if<MemberChange>(&input)) {
-        const auto index = raft.changeMember(change->member, change->remove);
+    } else if (std::holds_alternative<Handover>(input)) {
+        raft.transferLeadership(now);
+    } else if (auto *change = std::get_if<MemberRequest>(&input)) {
+        const auto index = raft.changeMember(change->member, change->kind);
         if (index) {
             pending[*index] = {raft.term(), std::move(change->done)};
         } else {
--- a/ledger/nodeloop.h
+++ b/ledger/nodeloop.h
@@ -34,13 +34,18 @@
         ReadCallback done;
     };
 
-    struct MemberChange
+    struct MemberRequest
     {
         proto::LogMember member;
-        bool remove = false;
+        MemberChange kind = MemberChange::Add;
         ResultCallback done;
     };
 
+    // Leadership is to be handed over.
+    struct Handover
+    {
+    };
+
     // A snapshot of this member's table was written, or failed.
     struct SnapshotStored
     {
@@ -59,8 +64,8 @@
     {
     };
 
-    using Input = std::variant<proto::RaftMessage, Proposal, ReadRequest, MemberChange, SnapshotStored, SnapshotLoaded,
-                               TableCopied>;
+    using Input = std::variant<proto::RaftMessage, Proposal, ReadRequest, MemberRequest, Handover, SnapshotStored,
+                               SnapshotLoaded, TableCopied>;
 
     Private(Options initialOptions, Store opened, const RaftState &state,
             const std::optional<proto::TableImage> &image);
--- a/ledger/raft.cpp
+++ b/ledger/raft.cpp
@@ -94,6 +94,7 @@
     }
     m_role = Role::Follower;
     m_leader = leader;
+    m_handoverEnd = {};
     m_failedElections = leader.empty() ? m_failedElections : 0;
     m_votes.clear();
     m_progress.clear();
@@ -129,7 +130,7 @@
 
 // A pre-vote asks whether an election could succeed without raising the term, so that a member that was partitioned
 // does not depose a working leader when it returns.
-void Raft::campaign(Role role, Time now)
+void Raft::campaign(Role role, Time now, bool handover)
 {
     m_role = role;
     m_leader.clear();
@@ -147,6 +148,7 @@
             request.set_term(m_hardState.term() + (isVote ? 0 : 1));
             request.set_log_index(m_log.lastIndex());
             request.set_log_term(m_log.lastTerm());
+            request.set_handover(handover);
             m_output.messages.push_back(std::move(request));
         }
     }
@@ -241,6 +243,9 @@
     case Message::SNAPSHOT:
         onSnapshot(message, now);
         break;
+    case Message::TIMEOUT_NOW:
+        onTimeoutNow(message, now);
+        break;
     case Message::APPEND_REPLY:
     case Message::SNAPSHOT_REPLY:
         onReplicationReply(message, now);
@@ -253,8 +258,9 @@
 void Raft::onVoteRequest(const proto::RaftMessage &request, Time now)
 {
     const bool isVote = request.kind() == proto::RaftMessage::VOTE;
-    // While there is a working leader, only a member that was removed or partitioned starts an election. Ignore it.
-    if (hasRecentLeader(now) && request.term() > m_hardState.term()) {
+    // While there is a working leader that does not hand over, only a member that was removed or partitioned starts an
+    // election. Ignore it.
+    if (hasRecentLeader(now) && request.term() > m_hardState.term() && !request.handover()) {
         return;
     }
     if (isVote && request.term() > m_hardState.term()) {
@@ -292,6 +298,14 @@
     countVotes(now);
 }
 
+// The leader hands over. The pre-vote is skipped, because it would fail while the leader is known.
+void Raft::onTimeoutNow(const proto::RaftMessage &request, Time now)
+{
+    if (request.term() == m_hardState.term() && m_role == Role::Follower && canCampaign()) {
+        campaign(Role::Candidate, now, true);
+    }
+}
+
 void Raft::onAppend(const proto::RaftMessage &request, Time now)
 {
     const bool heartbeat = request.entries().empty();
--- a/ledger/raft.h
+++ b/ledger/raft.h
@@ -65,6 +65,12 @@
     bool empty() const;
 };
 
+enum class MemberChange {
+    Add, // or update the address or the data folder
+    Remove,
+    Leave, // remove a member that ends as planned, only if the quorum of the others is at least minQuorum
+};
+
 // One member of a Raft group. Not thread-safe.
 class Raft
 {
@@ -83,9 +89,13 @@
     // leader.
     std::optional<std::uint64_t> propose(const proto::Command &command);
 
-    // Adds, updates or removes one member and returns the log index of the change. Returns nullopt and sets lastError()
-    // when this member is not the leader, another change is not yet committed, or the change is not possible.
-    std::optional<std::uint64_t> changeMember(const proto::LogMember &member, bool remove);
+    // Changes one member and returns the log index of the change. Returns nullopt and sets lastError() when this member
+    // is not the leader, another change is not yet committed, or the change is not possible.
+    std::optional<std::uint64_t> changeMember(const proto::LogMember &member, MemberChange kind);
+
+    // Hands leadership over to the voter with the longest log, which starts an election at once. Commands are refused
+    // until that voter leads or an election timeout has passed. Does nothing on other members than the leader.
+    void transferLeadership(Time now);
 
     // Requests a read index for a linearizable read. The result is in RaftOutput::reads of a later output.
     void read(std::uint64_t id);
@@ -148,12 +158,14 @@
 
     void becomeFollower(std::uint64_t term, const std::string &leader, Time now);
     void becomeLeader(Time now);
-    void campaign(Role role, Time now);
+    // `handover`: the leader asked for the election, so its presence is no reason to refuse the vote.
+    void campaign(Role role, Time now, bool handover = false);
     // Once a quorum has granted its votes, a pre-candidate starts the election and a candidate becomes leader.
     void countVotes(Time now);
     void resetElectionDeadline(Time now);
     void onVoteRequest(const proto::RaftMessage &message, Time now);
     void onVoteReply(const proto::RaftMessage &message, Time now);
+    void onTimeoutNow(const proto::RaftMessage &message, Time now);
     void onAppend(const proto::RaftMessage &message, Time now);
     void onSnapshot(const proto::RaftMessage &message, Time now);
     void onReplicationReply(const proto::RaftMessage &message, Time now);
@@ -168,6 +180,9 @@
     void replicate(Time now);
     void replicateTo(const std::string &id, Progress &progress, Time now);
     void sendHeartbeats(Time now);
+    std::optional<std::uint64_t> addMember(const proto::LogMember &member);
+    std::optional<std::uint64_t> removeMember(const proto::LogMember &member, MemberChange kind);
+    void continueHandover(Time now);
     void updateMembership(Time now);
     std::vector<proto::LogMember> unreachableVoters(Time now) const;
     bool removeUnreachableVoter(Time now);
@@ -183,6 +198,8 @@
 
     RaftOptions m_options;
     RaftLog m_log;
+    Time m_handoverEnd{}; // time at which a handover is given up; Time{} without one
+    bool m_timeoutNowSent = false; // during this handover
     proto::HardState m_hardState;
     proto::HardState m_persistedHardState;
     std::uint64_t m_commit = 0;
--- a/ledger/raftleader.cpp
+++ b/ledger/raftleader.cpp
@@ -63,6 +63,9 @@
     if (m_role != Role::Leader) {
         return failNotLeader();
     }
+    if (m_handoverEnd != Time{}) {
+        return fail(proto::ERROR_UNAVAILABLE, "this leader hands over to another host; send the command again");
+    }
     proto::LogEntry entry;
     *entry.mutable_command() = command;
     return appendEntry(std::move(entry));
@@ -73,7 +76,7 @@
     return m_log.term(m_commit) == m_hardState.term();
 }
 
-std::optional<std::uint64_t> Raft::changeMember(const proto::LogMember &change, bool remove)
+std::optional<std::uint64_t> Raft::changeMember(const proto::LogMember &change, MemberChange kind)
 {
     if (m_role != Role::Leader) {
         return failNotLeader();
@@ -85,20 +88,36 @@
         return fail(proto::ERROR_CONFLICT,
                     "another membership change, or the first entry of this leader, is not yet committed; retry later");
     }
+    return kind == MemberChange::Add ? addMember(change) : removeMember(change, kind);
+}
+
+std::optional<std::uint64_t> Raft::removeMember(const proto::LogMember &change, MemberChange kind)
+{
     auto config = m_log.config();
-    auto *existing = findMember(config, change.id());
-    if (remove) {
-        if (existing == nullptr) {
-            return fail(proto::ERROR_NOT_FOUND, "member " + change.id() + " does not exist; check the id");
-        }
-        if (existing->voter() && voterCount(config) == 1) {
-            return fail(proto::ERROR_INVALID, "member " + change.id() + " is the only voter; add another voter first");
-        }
-        auto *members = config.mutable_members();
-        members->erase(std::find_if(members->begin(), members->end(),
-                                    [&change](const auto &member) { return member.id() == change.id(); }));
-        return appendConfig(config);
+    const auto *existing = findMember(config, change.id());
+    if (existing == nullptr) {
+        return fail(proto::ERROR_NOT_FOUND, "member " + change.id() + " does not exist; check the id");
+    }
+    const std::size_t voters = voterCount(config);
+    if (existing->voter() && voters == 1) {
+        return fail(proto::ERROR_INVALID, "member " + change.id() + " is the only voter; add another voter first");
     }
+    if (kind == MemberChange::Leave && existing->voter() && quorumOf(voters - 1) < m_options.minQuorum) {
+        return fail(proto::ERROR_INVALID,
+                    "member " + change.id()
+                        + " stays a voter, because the others would store too few copies of each "
+                          "change; add another voter first");
+    }
+    auto *members = config.mutable_members();
+    members->erase(std::find_if(members->begin(), members->end(),
+                                [&change](const auto &member) { return member.id() == change.id(); }));
+    return appendConfig(config);
+}
+
+std::optional<std::uint64_t> Raft::addMember(const proto::LogMember &change)
+{
+    auto config = m_log.config();
+    auto *existing = findMember(config, change.id());
     const bool identityChanged =
         existing != nullptr && !change.identity().empty() && existing->identity() != change.identity();
     const bool addressChanged =
@@ -133,18 +152,47 @@
     return appendEntry(std::move(entry));
 }
 
+void Raft::transferLeadership(Time now)
+{
+    if (m_role == Role::Leader && m_handoverEnd == Time{}) {
+        m_handoverEnd = now + m_options.electionTimeout;
+        m_timeoutNowSent = false;
+    }
+}
+
+// Asks the voter with the longest log to start an election, once it has every entry of this leader: otherwise the
+// others would refuse their votes. Ends a handover that no voter has taken in time.
+void Raft::continueHandover(Time now)
+{
+    if (now >= m_handoverEnd) {
+        m_handoverEnd = {};
+    }
+    if (m_handoverEnd == Time{} || m_timeoutNowSent) {
+        return;
+    }
+    for (const auto &[id, progress] : m_progress) {
+        const auto *successor = member(id);
+        const bool answers = now < progress.lastContact + m_options.electionTimeout;
+        if (successor->voter() && answers && progress.match == m_log.lastIndex()) {
+            m_output.messages.push_back(message(proto::RaftMessage::TIMEOUT_NOW, id));
+            m_timeoutNowSent = true;
+            return;
+        }
+    }
+}
+
 // Turns members that answer with a new data folder into learners, removes an unreachable voter, and promotes learners
 // that have synced every committed entry. Starts at most one change.
 void Raft::updateMembership(Time now)
 {
-    if (m_log.configIndex() > m_commit || !committedInTerm()) {
+    if (m_log.configIndex() > m_commit || !committedInTerm() || m_handoverEnd != Time{}) {
         return;
     }
     for (const auto &[id, newIdentity] : m_newIdentities) {
         proto::LogMember replaced;
         replaced.set_id(id);
         replaced.set_identity(newIdentity.identity);
-        if (newIdentity.confirmed && changeMember(replaced, false)) {
+        if (newIdentity.confirmed && changeMember(replaced, MemberChange::Add)) {
             m_newIdentities.erase(id);
             return;
         }
@@ -196,7 +244,7 @@
     if (unreachable.empty() || quorumOf(remaining) >= quorumOf(voters)) {
         return false;
     }
-    return changeMember(unreachable.front(), true).has_value();
+    return changeMember(unreachable.front(), MemberChange::Remove).has_value();
 }
 
 // Updates m_progress to the current members: removes former members, adds new ones, and resets those with a new data
@@ -386,6 +434,7 @@
     if (m_role == Role::Leader) {
         updateMembership(now);
         rebuildProgress(now);
+        continueHandover(now);
         if (m_roundRequested) {
             ++m_round;
             m_roundRequested = false;
--- a/tests/raft_simulation.cpp
+++ b/tests/raft_simulation.cpp
@@ -352,7 +352,8 @@
 // Removes a member, or adds it if it is not in the group.
 void SimulatedGroup::changeMember(Member &leaderMember, const proto::LogMember &member)
 {
-    (void)leaderMember.raft->changeMember(member, hasMember(leaderMember, member.id()));
+    const auto kind = hasMember(leaderMember, member.id()) ? MemberChange::Remove : MemberChange::Add;
+    (void)leaderMember.raft->changeMember(member, kind);
 }
 
 // Checks that a learner becomes a voter only after it has synced every committed entry.
--- a/tests/test_members.cpp
+++ b/tests/test_members.cpp
@@ -75,3 +75,31 @@
     status.set_leader("b:1");
     CHECK_FALSE(mustRequestJoin(status, milliseconds(600)));
 }
+
+// Guards against an ended host that stays a voter until the leader notices: two disks lost meanwhile would end the
+// group.
+TEST_CASE("a host that ends as planned leaves the group first, also if it leads")
+{
+    ControlGroup group(5);
+    group.start(6, {1, 2, 3});
+    REQUIRE(eventually([&] { return group.isVoter(6); }));
+    const int leader = group.waitLeader();
+    group.host(leader).leave();
+    CHECK_FALSE(group.status(leader).role() == "leader");
+    CHECK(eventually([&] { return group.voters().size() == 5 && !group.isVoter(leader); }));
+    const auto others = group.others(leader);
+    group.host(others.front()).leave();
+    CHECK(group.voters().size() == 4);
+    CHECK_FALSE(group.isVoter(others.front()));
+}
+
+// Guards against planned ends after which an acknowledged entry would be stored on too few disks.
+TEST_CASE("a host that ends as planned stays a voter if the others would be too few")
+{
+    ControlGroup group(5);
+    const auto others = group.others(group.waitLeader());
+    group.host(others[0]).leave();
+    group.host(others[1]).leave();
+    CHECK(group.voters().size() == 4);
+    CHECK(group.isVoter(others[1]));
+}
--- a/tests/test_node.cpp
+++ b/tests/test_node.cpp
@@ -118,20 +118,20 @@
     proto::LogMember member;
     member.set_id("c4");
     member.set_rpc_address("127.0.0.1:7004");
-    const auto change = [&](bool remove) {
+    const auto change = [&](MemberChange kind) {
         return eventually([&] {
             std::promise<proto::CommandResult> promise;
-            group.node(group.waitLeader())->changeMember(member, remove, [&](const proto::CommandResult &result) {
+            group.node(group.waitLeader())->changeMember(member, kind, [&](const proto::CommandResult &result) {
                 promise.set_value(result);
             });
             return promise.get_future().get().kind() == proto::ERROR_NONE;
         });
     };
-    REQUIRE(change(false));
+    REQUIRE(change(MemberChange::Add));
     CHECK(eventually([&] { return group.node("c4")->status().role() == "follower"; }));
     CHECK(eventually([&] { return hasCustomer(group, "c4", "first"); }));
     CHECK(group.node(group.waitLeader())->status().config().members_size() == 4);
-    REQUIRE(change(true));
+    REQUIRE(change(MemberChange::Remove));
     CHECK(eventually([&] { return group.node(group.waitLeader())->status().config().members_size() == 3; }));
     group.stop("c4");
     CHECK(group.propose(createCustomer("second")).kind() == proto::ERROR_NONE);
