--- a/control/host.cpp
+++ b/control/host.cpp
@@ -35,8 +35,9 @@
 // Interval of the checks for held Sync calls, silent members and shifts.
 constexpr milliseconds tickInterval{25};
 
-// A voter that is unreachable for this long may be removed from the group. Longer than any restart takes.
-constexpr milliseconds removeUnreachableAfter{3000};
+// A voter that is unreachable for this long may be removed from the group. With two elections on the way it is still gone
+// within the time after which its successor counts.
+constexpr milliseconds removeUnreachableAfter{2000};
 
 // Longest time that a planned end waits for the group.
 constexpr milliseconds leaveTimeout{2000};
--- a/ledger/raft.h
+++ b/ledger/raft.h
@@ -26,8 +26,8 @@
     // Minimum; each timeout is chosen at random from once to twice this, and from a wider range after failed elections.
     Duration electionTimeout = milliseconds(300);
     std::uint64_t seed = 0; // seed of the random election timeouts
-    // The leader removes voters that have not answered for this long, if the quorum becomes smaller without them and
-    // stays at least minQuorum. Without this, a replaced host would stay in the group as a dead voter. 0 disables it.
+    // The leader removes voters that have not answered for this long while there are more than 2 * minQuorum - 1
+    // voters. Without this, a replaced host would stay in the group as a dead voter. 0 disables it.
     Duration removeUnreachableAfter{};
     std::size_t minQuorum = 1; // voters
 };
@@ -184,6 +184,7 @@
     std::optional<std::uint64_t> removeMember(const proto::LogMember &member, MemberChange kind);
     void continueHandover(Time now);
     void updateMembership(Time now);
+    std::size_t neededVoters() const;
     std::vector<proto::LogMember> unreachableVoters(Time now) const;
     bool removeUnreachableVoter(Time now);
     void rebuildProgress(Time now);
--- a/ledger/raftleader.cpp
+++ b/ledger/raftleader.cpp
@@ -34,12 +34,6 @@
     return voters / 2 + 1;
 }
 
-// Smallest number of voters whose majority is `quorum`.
-std::size_t fewestVoters(std::size_t quorum)
-{
-    return 2 * (quorum - 1);
-}
-
 proto::LogMember *findMember(proto::LogConfig &config, const std::string &id)
 {
     for (auto &member : *config.mutable_members()) {
@@ -231,20 +225,21 @@
     return unreachable;
 }
 
-// Removes the voter that has been silent longest, if the quorum is smaller once all silent voters that the group can
-// spare are removed. One removal alone need not make it smaller: two of seven voters may be gone.
+// Removes the voter that has been silent longest, while the group has more voters than it needs to bear the loss of all
+// but a quorum of minQuorum. A group without successors keeps its silent voters, which count again once they return.
 bool Raft::removeUnreachableVoter(Time now)
 {
-    if (m_options.removeUnreachableAfter == Duration(0)) {
+    if (m_options.removeUnreachableAfter == Duration(0) || voterCount(m_log.config()) <= neededVoters()) {
         return false;
     }
     const auto unreachable = unreachableVoters(now);
-    const std::size_t voters = voterCount(m_log.config());
-    const std::size_t remaining = std::max(voters - unreachable.size(), fewestVoters(m_options.minQuorum));
-    if (unreachable.empty() || quorumOf(remaining) >= quorumOf(voters)) {
-        return false;
-    }
-    return changeMember(unreachable.front(), MemberChange::Remove).has_value();
+    return !unreachable.empty() && changeMember(unreachable.front(), MemberChange::Remove).has_value();
+}
+
+// A group of this size has a quorum of minQuorum, and still one after the loss of minQuorum - 1 voters.
+std::size_t Raft::neededVoters() const
+{
+    return 2 * m_options.minQuorum - 1;
 }
 
 // Updates m_progress to the current members: removes former members, adds new ones, and resets those with a new data
