Acknowledge an entry only once more disks hold it than may be lost

What callers could have seen: after two of five control hosts had lost their disks, a change acknowledged in the moment before the hosts were promoted again was on two disks only, and lost with them.

Cause: a majority of the voters was enough, and hosts that lost their disks are no voters for a moment.

Evidence: the new case of test_raft failed before (committed on two disks).

--- a/ledger/raft.h
+++ b/ledger/raft.h
@@ -29,7 +29,7 @@
     // The leader removes voters that have not answered for this long while there are more than 2 * minQuorum - 1
     // voters. Without this, a replaced host would stay in the group as a dead voter. 0 disables it.
     Duration removeUnreachableAfter{};
-    std::size_t minQuorum = 1; // voters
+    std::size_t minQuorum = 1; // voters; also the number of disks that have to hold an entry before it is committed
 };
 
 // Durable state that a member starts from.
@@ -174,6 +174,7 @@
     bool hasRecentLeader(Time now) const;
     bool isQuorum(const std::set<std::string> &members) const;
     bool hasRecentQuorum(Time now) const;
+    std::uint64_t syncedOn(std::size_t count, bool votersOnly) const;
     void advanceCommit(Time now);
     void completeReads();
     void failReads();
--- a/ledger/raftleader.cpp
+++ b/ledger/raftleader.cpp
@@ -279,27 +279,37 @@
     return isQuorum(reachable);
 }
 
-void Raft::advanceCommit(Time now)
+// Returns the highest index that at least `count` of the members have synced; 0 if there are fewer members.
+std::uint64_t Raft::syncedOn(std::size_t count, bool votersOnly) const
 {
     std::vector<std::uint64_t> matches;
-    for (const auto &voter : m_log.config().members()) {
-        if (!voter.voter()) {
+    for (const auto &listed : m_log.config().members()) {
+        if (votersOnly && !listed.voter()) {
             continue;
         }
-        const auto found = m_progress.find(voter.id());
+        const auto found = m_progress.find(listed.id());
         const auto match = found != m_progress.end() ? found->second.match : 0;
-        matches.push_back(voter.id() == m_options.id ? m_log.stableIndex() : match);
+        matches.push_back(listed.id() == m_options.id ? m_log.stableIndex() : match);
     }
-    if (matches.empty()) {
-        return;
+    if (count == 0 || matches.size() < count) {
+        return 0;
     }
-    // In descending order, the element in the middle is the highest index that a majority has synced.
-    const auto median = matches.begin() + static_cast<std::ptrdiff_t>(matches.size() / 2);
-    std::nth_element(matches.begin(), median, matches.end(), std::greater<>());
+    const auto position = matches.begin() + static_cast<std::ptrdiff_t>(count - 1);
+    std::nth_element(matches.begin(), position, matches.end(), std::greater<>());
+    return *position;
+}
+
+// An entry needs a majority of the voters, and copies on minQuorum disks: after two of five hosts lost their disks, two
+// of the remaining three voters would be a majority. Groups with fewer members need all of them.
+void Raft::advanceCommit(Time now)
+{
+    const auto members = static_cast<std::size_t>(m_log.config().members_size());
+    const std::uint64_t majority = syncedOn(quorumOf(voterCount(m_log.config())), true);
+    const std::uint64_t synced = std::min(majority, syncedOn(std::min(m_options.minQuorum, members), false));
     // Entries of earlier terms are committed only through an entry of the current term, as a later leader could still
     // replace them before that (section 5.4.2 of the Raft paper).
-    if (*median > m_commit && m_log.term(*median) == m_hardState.term()) {
-        m_commit = *median;
+    if (synced > m_commit && m_log.term(synced) == m_hardState.term()) {
+        m_commit = synced;
     }
     if (m_log.configIndex() <= m_commit && committedInTerm() && !isVoter()) {
         becomeFollower(m_hardState.term(), "", now); // removed from the group
--- a/tests/test_raft.cpp
+++ b/tests/test_raft.cpp
@@ -19,8 +19,8 @@
     return value != nullptr ? std::strtoull(value, nullptr, 10) : defaultCount;
 }
 
-// Returns member c1 of three, with two entries of term 1 in its log.
-Raft makeRaft(Time now)
+// Returns member c1 of three, with two entries of term 1 in its log. With `minQuorum` 3, c4 and c5 are learners.
+Raft makeRaft(Time now, std::size_t minQuorum = 1)
 {
     RaftState state;
     state.hardState.set_term(1);
@@ -36,7 +36,13 @@
         entry.set_noop(true);
         state.entries.push_back(entry);
     }
-    return {{"c1", "folder", milliseconds(50), milliseconds(300), 1}, state, now};
+    if (minQuorum == 3) {
+        state.config.add_members()->set_id("c4");
+        state.config.add_members()->set_id("c5");
+    }
+    RaftOptions options{"c1", "folder", milliseconds(50), milliseconds(300), 1};
+    options.minQuorum = minQuorum;
+    return {options, state, now};
 }
 
 // Simulates a group with each seed, requires progress after the faults end, and prints the counters of all runs.
@@ -337,6 +343,38 @@
     CHECK(raft.commit() == 3);
 }
 
+// Guards against an acknowledged entry on too few disks: while two of five hosts that lost their disks are learners, a
+// majority of the three voters is two, and both may be lost.
+TEST_CASE("an entry is committed only on minQuorum disks, those of learners included")
+{
+    Time now{};
+    Raft raft = makeRaft(now, 3);
+    const auto reply = [&](const std::string &from, proto::RaftMessage::Kind kind, std::uint64_t index) {
+        proto::RaftMessage message;
+        message.set_kind(kind);
+        message.set_from(from);
+        message.set_to("c1");
+        message.set_term(2);
+        message.set_success(true);
+        message.set_log_index(index);
+        raft.step(message, now);
+        while (!raft.output(now).empty()) {
+            raft.persisted(now);
+        }
+    };
+    now += milliseconds(700);
+    raft.tick(now);
+    (void)raft.output(now);
+    raft.persisted(now);
+    reply("c2", proto::RaftMessage::PRE_VOTE_REPLY, 0);
+    reply("c2", proto::RaftMessage::VOTE_REPLY, 0);
+    REQUIRE(raft.role() == Raft::Role::Leader);
+    reply("c2", proto::RaftMessage::APPEND_REPLY, 3);
+    CHECK(raft.commit() == 0);
+    reply("c4", proto::RaftMessage::APPEND_REPLY, 3);
+    CHECK(raft.commit() >= 3);
+}
+
 // Guards against a removed or restarted member with a complete log that deposes a working leader.
 TEST_CASE("a member with a working leader grants no vote")
 {
