Let the soak replace control hosts, change their seeds and lose two of them at once

Now five hosts, two of which are disturbed at the same time: killed, stopped, paused for up to 6 s, wiped, replaced at once or as planned, with seeds that change.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -9,7 +9,7 @@
   - no API key reaches a backend server
   - a read never returns a declaration older than one acknowledged before the read
   - an evacuated availability zone receives no requests
-  - acknowledged declarations are not lost
+  - acknowledged declarations are not lost, although control hosts lose their disks, freeze and are replaced, two at once
   - a request that crashes servers is kept away from them after three crashes and answered with 502; no other is blocked
   - requests that no fault disturbs are answered with 200
   - a request on a kept connection that a server completed is answered, also if its gateway stood still for a while
@@ -32,6 +32,8 @@
 KEY = "soak-key"
 EVACUATION_BOUND_S = 5.0  # servers of the zone must receive no requests this long after the acknowledgement
 CALLER_TIMEOUT_S = 4.0
+CONTROL_HOSTS, SEEDS, TOLERATED_LOSSES = 5, 3, 2
+CATCH_UP_S = 5.0  # until a control host that is back, or a successor, counts again
 CONTACT_S = 3.0  # a process without a fault for this long is in touch
 CRASHES_TO_BLOCK = 3  # crashes one after the other
 BLOCKING_BOUND_S = 3.0  # a request that crashes servers must be blocked this long after the last of these crashes
@@ -170,6 +172,8 @@
         self.failures, self.check_count, self.served = [], 0, 0
         self.undisturbed_count, self.kept_answers, self.lost_answers = 0, 0, 0  # requests; answers on kept connections
         self.processes = {}  # asyncio process by name
+        self.controls, self.rpc_address, self.api_address = [], {}, {}  # running hosts; addresses by name
+        self.disturbed = set()  # processes that a fault was chosen for and that have not recovered from it
         self.last_fault_end = {}  # end of the last pause or restart by process name
         self.servers, self.proxies = {}, {}
         self.crashing = {"/safe/crash": CrashingRequest("GET", "/safe/crash", b""),
@@ -328,27 +332,35 @@
             file.write(f"[host]\nid = {name}\nregion = {region}\navailability_zone = {zone}\n"
                        f"rpc_listen = {self.rpc_address[name]}\nworkers = 1\n{text}")
 
-    def write_all_settings(self):
-        self.controls = [f"c{i}" for i in range(3)]
+    def choose_addresses(self):
+        for _ in range(CONTROL_HOSTS):
+            self.add_control()
+        self.seeds = self.controls[:SEEDS]
         self.gateways = [f"g{i}" for i in range(3)]
-        self.rpc_address = {name: f"127.0.0.1:{free_port()}" for name in self.controls + self.gateways}
-        self.api_address = {name: f"127.0.0.1:{free_port()}" for name in self.controls}
+        self.zone = {name: self.random.choice(list(ZONES)) for name in self.gateways}
+        self.rpc_address |= {name: f"127.0.0.1:{free_port()}" for name in self.gateways}
         self.gateway_address = {name: f"127.0.0.1:{free_port()}" for name in self.gateways}
         self.ready_address = {name: f"127.0.0.1:{free_port()}" for name in self.gateways}
-        seeds = ", ".join(self.rpc_address[name] for name in self.controls)
+
+    def add_control(self):
+        name = f"c{len(self.rpc_address)}"
+        self.controls.append(name)
+        self.rpc_address[name] = f"127.0.0.1:{free_port()}"
+        self.api_address[name] = f"127.0.0.1:{free_port()}"
+        return name
+
+    def write_all_settings(self, bootstrap=False):
+        seeds = ", ".join(self.rpc_address[name] for name in self.seeds)
         for name in self.gateways:
-            self.write_settings(name, self.random.choice(list(ZONES)),
+            self.write_settings(name, self.zone[name],
                                 f"[entry]\ncontrol_hosts = {seeds}\n[gateway]\nenabled = true\nlisten = "
                                 f"{self.gateway_address[name]}\nready_listen = {self.ready_address[name]}\n"
                                 f"retry_slack = 60\n")
-        self.write_control_settings(bootstrap=True)
-
-    def write_control_settings(self, bootstrap):
-        seeds = ", ".join(self.rpc_address[name] for name in self.controls)
         zones = ", ".join(f"{zone}={region}" for zone, region in ZONES.items())
         for name in self.controls:
             self.write_settings(name, "z1", f"[control]\nenabled = true\ndata_folder = {self.folder}/{name}\n"
                                 f"seeds = {seeds}\nbootstrap = {str(bootstrap).lower()}\n"
+                                f"tolerated_losses = {TOLERATED_LOSSES}\n"
                                 f"declaration_listen = {self.api_address[name]}\n"
                                 f"[platform]\nlist_address = {self.list_address}\nzone_regions = {zones}\n")
 
@@ -547,9 +559,15 @@
 
     # ------------------------------------------------------------------ faults
     async def inject_process_fault(self, name):
-        kind = self.random.choice(["kill", "pause", "term", "hup", "wipe" if name in self.controls else "pause"])
+        control_kinds = ["wipe", "replace", "replace as planned", "seeds"] if name in self.controls else []
+        kind = self.random.choice(["kill", "pause", "term", "hup"] + control_kinds)
         if kind == "pause":
-            await self.pause(name, self.random.uniform(0.1, 3.0))
+            # Past the time after which a silent control host may be removed from the group.
+            await self.pause(name, self.random.uniform(0.1, 6.0 if name in self.controls else 3.0))
+        elif kind.startswith("replace"):
+            await self.replace(name, planned=kind == "replace as planned")
+        elif kind == "seeds":
+            self.change_seeds()
         elif kind == "hup":
             self.processes[name].send_signal(signal.SIGHUP)
         else:
@@ -562,10 +580,39 @@
                 shutil.rmtree(os.path.join(self.folder, name))
             await asyncio.sleep(self.random.uniform(0.0, 1.0))
             await self.start_process(name)
-            # A control host whose data was wiped has to catch up before the next fault.
-            await asyncio.sleep(5.0 if name in self.controls else 0.0)
+            await asyncio.sleep(CATCH_UP_S if name in self.controls else 0.0)
         self.last_fault_end[name] = time.monotonic()
 
+    async def replace(self, name, planned):
+        """Ends a control host for good. Its successor has another address."""
+        successor = self.add_control()
+        with self.fault(name), self.fault(successor):
+            self.disturbed.add(successor)
+            if planned:
+                self.write_all_settings()
+                await self.start_process(successor)
+                await asyncio.sleep(CATCH_UP_S)
+                await self.stop_process(name, signal.SIGTERM)
+            else:
+                await self.stop_process(name, signal.SIGKILL)
+                await asyncio.sleep(1.0)
+                self.write_all_settings()
+                await self.start_process(successor)
+            self.controls.remove(name)
+            if name in self.seeds:
+                self.change_seeds()
+            await asyncio.sleep(CATCH_UP_S)
+            self.disturbed.remove(successor)
+        self.last_fault_end[successor] = time.monotonic()
+
+    def change_seeds(self):
+        running = [name for name in self.controls if name in self.processes]
+        self.seeds = self.random.sample(running, SEEDS)
+        self.write_all_settings()
+        for name in running + self.gateways:
+            if self.processes[name].returncode is None:
+                self.processes[name].send_signal(signal.SIGHUP)
+
     async def pause(self, name, seconds):
         with self.fault(name):
             self.processes[name].send_signal(signal.SIGSTOP)
@@ -581,10 +628,13 @@
             await asyncio.gather(*(self.pause(name, IDLE_LIMIT_S + 0.5) for name in self.gateways))
 
     async def inject_process_faults(self, names):
-        """Injects one fault at a time into `names`, so that the control hosts keep their quorum."""
+        """Injects one fault at a time into `names`. Run once for each control host that may be lost at the same time."""
         while not self.quiet:
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
-            await self.inject_process_fault(self.random.choice(names))
+            name = self.random.choice([name for name in names if name not in self.disturbed])
+            self.disturbed.add(name)
+            await self.inject_process_fault(name)
+            self.disturbed.remove(name)
 
     async def inject_link_faults(self):
         while not self.quiet:
@@ -613,18 +663,19 @@
         await self.start_platform()
         for number in range(6):
             await self.start_server(number)
-        self.write_all_settings()
+        self.choose_addresses()
+        self.write_all_settings(bootstrap=True)
         for name in self.controls + self.gateways:
             await self.start_process(name)
         await self.put_declaration()
         self.check(await self.wait_ready(20), "the gateways were not ready after 20 s")
-        self.write_control_settings(bootstrap=False)
+        self.write_all_settings()
         load = [asyncio.create_task(coroutine) for coroutine in
                 (self.send_periodically(), self.change_periodically(), self.read_periodically(),
                  *(self.keep_connection(number) for number in range(KEPT_CONNECTIONS)))]
         faults = [asyncio.create_task(coroutine) for coroutine in
-                  (self.inject_process_faults(self.controls), self.inject_process_faults(self.gateways),
-                   self.inject_link_faults())]
+                  (*(self.inject_process_faults(self.controls) for _ in range(TOLERATED_LOSSES)),
+                   self.inject_process_faults(self.gateways), self.inject_link_faults())]
         crashing = [asyncio.create_task(self.repeat_crashing(request)) for request in self.crashing.values()]
         await asyncio.sleep(self.arguments.seconds)
         self.quiet = True
