End the Sync client with its last call instead of a second later

What callers saw: a gateway outlived its own stop_timeout_ms (5.5 s) and ended after 6.62 s, past the platform's grace of 6 s.

Cause: after stop() the client's thread went to sleep once more when its last call had ended, and nothing woke it for 1 s.

Evidence: the new case of test_follower failed before (1.0 s) and passes with the change.

--- a/fleet/controlclient.cpp
+++ b/fleet/controlclient.cpp
@@ -171,13 +171,19 @@
     return now < freshUntil.load();
 }
 
+// Nothing wakes the thread any more once this is true. The caller holds the mutex.
+bool ControlClient::Private::mayEnd() const
+{
+    return stopping && !syncCall && lateCalls.empty() && outstandingCalls == 0;
+}
+
 // Main loop of the thread: makes Sync calls and runs due timers and waiters. After stop() it continues until the
 // outstanding calls have ended, because their callbacks use this object.
 void ControlClient::Private::run()
 {
     std::unique_lock lock(mutex);
     Time nextCall = Clock::now();
-    while (!stopping || syncCall || !lateCalls.empty() || outstandingCalls > 0) {
+    while (!mayEnd()) {
         handleEndedLateCalls(lock);
         if (syncCall && !syncCall->done && !stopping && Clock::now() >= overdueAt(*syncCall)) {
             const auto overdue = std::move(syncCall);
@@ -210,7 +216,7 @@
         const Time until = std::min(nextDeadline(), stopping ? Time::max() : nextStep);
         const bool anyLateEnded =
             std::any_of(lateCalls.begin(), lateCalls.end(), [](const auto &c) { return c->done; });
-        if (!(syncCall && syncCall->done) && !anyLateEnded) {
+        if (!(syncCall && syncCall->done) && !anyLateEnded && !mayEnd()) {
             condition.wait_until(lock, std::min(until, Clock::now() + std::chrono::seconds(1)));
         }
     }
--- a/fleet/controlclient_p.h
+++ b/fleet/controlclient_p.h
@@ -86,6 +86,7 @@
     {
     }
 
+    bool mayEnd() const;
     void run();
     std::shared_ptr<SyncCall> startCall();
     Time overdueAt(const SyncCall &call) const;
--- a/tests/test_follower.cpp
+++ b/tests/test_follower.cpp
@@ -334,3 +334,17 @@
     CHECK(Clock::now() - begun < milliseconds(250));
     controlClient.stop();
 }
+
+// Guards against a host that ends a second late, because nothing wakes the thread after its last call has ended.
+TEST_CASE("a client stops as soon as its last call has ended")
+{
+    FakeControl control;
+    for (int i = 0; i < 5; ++i) {
+        ControlClient controlClient({localMember(), {control.address()}, {}});
+        controlClient.start();
+        REQUIRE(waitUntilTrue([&] { return controlClient.isFresh(Clock::now()); }));
+        const Time begun = Clock::now();
+        controlClient.stop();
+        CHECK(Clock::now() - begun < milliseconds(500));
+    }
+}
