Reject requests that may run past the end of a stopping host, and answer those in progress before it

What callers saw: in a planned stop requests that came late in the grace were passed on and cut without an answer, unsafe ones too (reported by other operators; shown with a time limit of 8 s and a server that works 4 s).

Cause: admission did not look at the time left until the host's own end.

Evidence: tests/test_gateway, new case.

--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -40,12 +40,12 @@
     , m_routing(state.routing)
     , m_timer(state.loop.get_executor())
 {
-    ++m_state.inFlight;
+    m_state.requests.insert(this);
 }
 
 ForwardedRequest::~ForwardedRequest()
 {
-    --m_state.inFlight;
+    m_state.requests.erase(this);
 }
 
 Duration ForwardedRequest::timeLeft(Time now) const
@@ -102,10 +102,27 @@
     if (rejectIfLate(Clock::now())) {
         return;
     }
-    m_timer.start(m_deadline + responseGracePeriod, [self = shared_from_this()] { self->onTimeout(); });
+    m_attempting = true;
+    startTimeout();
     tryNextServer();
 }
 
+void ForwardedRequest::startTimeout()
+{
+    m_timer.start(m_deadline + responseGracePeriod, [self = shared_from_this()] { self->onTimeout(); });
+}
+
+void ForwardedRequest::endBy(Time end)
+{
+    if (m_finished || m_deadline + responseGracePeriod <= end) {
+        return;
+    }
+    m_deadline = end - responseGracePeriod;
+    if (m_attempting) {
+        startTimeout();
+    }
+}
+
 // Makes all decisions that precede the selection of a server; false when the request was rejected.
 bool ForwardedRequest::admit()
 {
@@ -136,6 +153,10 @@
     if (rejectIfLate(now)) {
         return false;
     }
+    if (m_state.stopTime && m_deadline + responseGracePeriod > *m_state.stopTime) {
+        reject(503, "this host ends before the time limit of the request; retry on another host", retryAfterOverload);
+        return false;
+    }
     const std::string affinityKey = headerValue(request.head.headers, m_state.options.headerNames.affinityKey);
     m_affinityHash = m_route->affinity() && !affinityKey.empty()
         ? mixHashes(hashText(affinityKey), hashText(m_route->path_prefix()))
@@ -158,7 +179,7 @@
         reject(503, "this host's link is at capacity; retry later or on another host", retryAfterOverload);
         return false;
     }
-    if (m_state.inFlight > m_state.options.settings.largest_in_flight()) {
+    if (m_state.requests.size() > m_state.options.settings.largest_in_flight()) {
         reject(503, "this host is at its limit of requests in flight; retry later or on another host",
                retryAfterOverload);
         return false;
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -23,6 +23,9 @@
     // Admits the request and begins its first attempt, or responds with an error.
     void start();
 
+    // Brings the timeout forward to `end` if it is later.
+    void endBy(Time end);
+
 private:
     // A complete response that was read from a server. An error response is kept and sent to the client unless a retry
     // succeeds.
@@ -45,6 +48,7 @@
 
     bool admit();
     bool rejectIfLate(Time now);
+    void startTimeout();
     bool authenticate(Time now);
     void deny(int status, const std::string &reason, Time now);
     void startAttempts();
@@ -97,6 +101,7 @@
     unsigned m_attemptCount = 0; // attempts, including refused ones and failed connections
     unsigned m_possibleExecutions = 0; // attempts that a server executed or may have executed
     bool m_tokenTaken = false; // a token of the customer's rate limit was taken for the request
+    bool m_attempting = false; // attempts have begun, and m_timer runs until the timeout
     bool m_streaming = false; // the response to the client was begun before the server's was complete
     bool m_finished = false;
     std::optional<Attempt> m_attempt;
--- a/gateway/gateway.cpp
+++ b/gateway/gateway.cpp
@@ -145,7 +145,15 @@
 
 std::size_t Gateway::inFlight() const
 {
-    return d->inFlight;
+    return d->requests.size();
+}
+
+void Gateway::beginStop(Time end)
+{
+    d->stopTime = end;
+    for (ForwardedRequest *request : d->requests) {
+        request->endBy(end);
+    }
 }
 
 } // namespace banyanledge
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -72,6 +72,10 @@
     // Requests of clients in progress.
     std::size_t inFlight() const;
 
+    // Prepares for the end of this host: from now on requests whose time limit is later than `end` are rejected as not
+    // run, and those in progress time out at `end`.
+    void beginStop(Time end);
+
 private:
     class Private;
     std::shared_ptr<Private> d;
--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -38,6 +38,9 @@
 // Idle connections are closed at the latest this long before the end of the shutdown.
 constexpr milliseconds idleCloseMargin{1000};
 
+// Time before the end of this host by which all requests are answered, so that the answers can be written out.
+constexpr milliseconds finalAnswerMargin{300};
+
 proto::Member localMember(const proto::Settings &settings)
 {
     proto::Member self;
@@ -280,8 +283,9 @@
 {
     const Time startTime = Clock::now();
     const Time deadline = startTime + milliseconds(d->options.settings.gateway().stop_timeout_ms());
-    d->runOnLoop([priv = d.get()] {
+    d->runOnLoop([priv = d.get(), deadline] {
         priv->leaving = true;
+        priv->gateway.beginStop(deadline - finalAnswerMargin);
         priv->clientServer->closeAfterResponses();
     });
     d->controlClient.setState(proto::MEMBER_LEAVING);
--- a/gateway/state.h
+++ b/gateway/state.h
@@ -26,6 +26,8 @@
 namespace banyanledge
 {
 
+class ForwardedRequest;
+
 // Retry-After of a request that was not executed because of a lack of capacity, a missing reply to a token request or a
 // timeout. Also the minimum Retry-After of a customer that exceeded its rate limit.
 constexpr milliseconds retryAfterOverload{250};
@@ -119,7 +121,8 @@
     std::map<std::string, RateBucket> buckets; // by customer
     std::map<std::string, SplitState> splits; // by route
     std::mt19937_64 random;
-    std::size_t inFlight = 0;
+    std::set<ForwardedRequest *> requests; // of clients, in progress
+    std::optional<Time> stopTime; // all requests have to be answered by then, because this host ends
     RateEstimator responseBytes; // bytes of response bodies sent to clients
     RateEstimator requestRate; // requests of clients
     double meanRegionRequestRate = 0; // per second, of the region's hosts, from the leader; 0: unknown
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -623,6 +623,28 @@
     CHECK(Clock::now() - routeStartTime < milliseconds(350));
 }
 
+// Guards against requests that are accepted shortly before the end of a planned stop and cut without an answer.
+TEST_CASE("a stopping host rejects requests that may run past its end and answers the others before it")
+{
+    GatewayFixture fixture(1);
+    fixture.servers[0].onRequest = [](const Connection &, const ReceivedRequest &) {};
+    const auto socket = fixture.connect();
+    asio::write(*socket, asio::buffer(GatewayFixture::request("unsafe", "a", {}, "body")));
+    fixture.runUntil([&] { return receivedRequestCount(fixture) == 1; });
+    const Time end = Clock::now() + milliseconds(500);
+    fixture.gateway->beginStop(end);
+    const ClientResponse rejected = fixture.call(GatewayFixture::request("unsafe", "b", {}, "body"));
+    CHECK(rejected.status() == 503);
+    CHECK_FALSE(rejected.header("Retry-After").empty());
+    CHECK(receivedRequestCount(fixture) == 1);
+    std::string brief = GatewayFixture::request("safe", "c");
+    brief.replace(brief.find("Left-Ms: 1000"), 13, "Left-Ms: 100");
+    CHECK(fixture.call(brief).status() == 504); // sent, because its time limit is before the end
+    CHECK(receivedRequestCount(fixture) == 2);
+    CHECK(fixture.receiveResponse(*socket).status() == 504);
+    CHECK(Clock::now() < end + milliseconds(100));
+}
+
 TEST_CASE("an evacuated availability zone gets no requests, and requests get 503 when all zones are evacuated")
 {
     GatewayFixture fixture(2);
