Bound the control log in bytes, not only in entries

Some 280 changes of a declaration with 1,400 routes filled the 256 MB of every control host; all were killed, loaded the same log again and were killed again.

Evidence: the new case of test_node fails without the size condition (log in memory above 4 times snapshot_bytes).

--- a/control/host.cpp
+++ b/control/host.cpp
@@ -35,8 +35,8 @@
 // Interval of the checks for held Sync calls, silent members and shifts.
 constexpr milliseconds tickInterval{25};
 
-// A voter that is unreachable for this long may be removed from the group. With two elections on the way it is still gone
-// within the time after which its successor counts.
+// A voter that is unreachable for this long may be removed from the group. With two elections on the way it is still
+// gone within the time after which its successor counts.
 constexpr milliseconds removeUnreachableAfter{2000};
 
 // Longest time that a planned end waits for the group.
@@ -73,6 +73,7 @@
     options.heartbeatInterval = milliseconds(control.heartbeat_ms());
     options.electionTimeout = milliseconds(control.election_timeout_ms());
     options.snapshotEntries = control.snapshot_entries();
+    options.snapshotBytes = control.snapshot_bytes();
     options.send = [&peers](const proto::RaftMessage &message) { peers.send(message); };
     if (!control.seeds().empty()) {
         addSeeds(control, options);
--- a/control/peers.cpp
+++ b/control/peers.cpp
@@ -3,6 +3,7 @@
 #include <grpcpp/grpcpp.h>
 
 #include <condition_variable>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <set>
@@ -32,11 +33,15 @@
 // again.
 constexpr std::size_t maxQueuedMessages = 256;
 
+// The same by encoded size in bytes. The newest message stays in any case, because a snapshot may be larger.
+constexpr std::size_t maxQueuedBytes = 8 << 20;
+
 struct Peer
 {
     std::string listedAddress; // from the member list; empty if it does not name the host
     std::string learnedAddress; // from the host's own messages
-    std::vector<proto::RaftMessage> queue;
+    std::deque<proto::RaftMessage> queue;
+    std::size_t queuedBytes = 0; // encoded size of the queue
     std::set<grpc::ClientContext *> activeCalls;
 
     const std::string &address() const
@@ -87,6 +92,7 @@
         *delivery->batch.add_messages() = std::move(message);
     }
     peer.queue.clear();
+    peer.queuedBytes = 0;
     delivery->context.set_deadline(std::chrono::system_clock::now() + timeout);
     delivery->address = peer.address();
     delivery->stub = proto::Raft::NewStub(channels.channel(delivery->address, Clock::now()));
@@ -161,10 +167,12 @@
             return;
         }
         auto &queue = found->second.queue;
-        if (queue.size() >= maxQueuedMessages) {
-            queue.erase(queue.begin());
-        }
         queue.push_back(message);
+        found->second.queuedBytes += message.ByteSizeLong();
+        while (queue.size() > maxQueuedMessages || (queue.size() > 1 && found->second.queuedBytes > maxQueuedBytes)) {
+            found->second.queuedBytes -= queue.front().ByteSizeLong();
+            queue.pop_front();
+        }
     }
     d->startCall(message.to());
 }
@@ -175,6 +183,7 @@
     d->stopped = true;
     for (auto &[id, peer] : d->peers) {
         peer.queue.clear();
+        peer.queuedBytes = 0;
         for (grpc::ClientContext *context : peer.activeCalls) {
             context->TryCancel();
         }
--- a/ledger/node.cpp
+++ b/ledger/node.cpp
@@ -106,6 +106,11 @@
     return d->table.revision();
 }
 
+std::uint64_t Node::logBytes() const
+{
+    return d->logBytes;
+}
+
 void Node::onChange(std::function<void()> changed)
 {
     const std::lock_guard lock(d->statusMutex);
--- a/ledger/node.h
+++ b/ledger/node.h
@@ -29,6 +29,9 @@
         milliseconds heartbeatInterval{50};
         milliseconds electionTimeout{300}; // minimum; each timeout is chosen at random from once to twice this
         std::uint64_t snapshotEntries = 10000; // applied entries between two snapshots
+        // Encoded size in bytes of the applied entries between two snapshots; the size of the newest snapshot if that
+        // is larger, so that a large table is not written for every few changes.
+        std::uint64_t snapshotBytes = 4 << 20;
         Duration removeUnreachableAfter{}; // see RaftOptions
         std::size_t minQuorum = 1; // see RaftOptions
         std::function<void(const proto::RaftMessage &)> send; // called on the node's thread; must not block
@@ -83,6 +86,9 @@
     // Returns the revision of the last applied entry.
     Revision appliedRevision() const;
 
+    // Returns the encoded size in bytes of the log entries in memory.
+    std::uint64_t logBytes() const;
+
     // Registers a callback that is called on the node's thread after entries were applied or the role or term changed.
     // It must not block.
     void onChange(std::function<void()> changed);
--- a/ledger/nodeloop.cpp
+++ b/ledger/nodeloop.cpp
@@ -13,12 +13,14 @@
 namespace
 {
 
-// Maximum number of queued inputs. Further Raft messages are dropped, which Raft tolerates like a lossy network.
+// Maximum number and encoded size in bytes of queued inputs. Further Raft messages are dropped, which Raft tolerates
+// like a lossy network. A message that finds no other one queued is always taken, because a snapshot may be larger.
 constexpr std::size_t maxQueuedMessages = 20000;
+constexpr std::size_t maxQueuedBytes = 8 << 20;
 
-// After a snapshot, Options::snapshotEntries / retainedEntriesDivisor entries stay in memory, so that a member that
+// After a snapshot, this part of Options::snapshotEntries and of snapshotBytes stays in memory, so that a member that
 // lags only a little needs no snapshot.
-constexpr std::uint64_t retainedEntriesDivisor = 4;
+constexpr std::uint64_t retainedDivisor = 4;
 
 // Delay before the next snapshot after one could not be written, for example because the disk is full.
 constexpr milliseconds snapshotRetryInterval{10000};
@@ -89,9 +91,14 @@
 {
     {
         const std::lock_guard lock(queueMutex);
-        if (std::holds_alternative<proto::RaftMessage>(input) && queue.size() >= maxQueuedMessages) {
-            countMetric("banyanledge_raft_messages_dropped_total");
-            return;
+        if (const auto *message = std::get_if<proto::RaftMessage>(&input)) {
+            const std::size_t size = message->ByteSizeLong();
+            const bool full = queuedMessageBytes > 0 && queuedMessageBytes + size > maxQueuedBytes;
+            if (full || queue.size() >= maxQueuedMessages) {
+                countMetric("banyanledge_raft_messages_dropped_total");
+                return;
+            }
+            queuedMessageBytes += size;
         }
         queue.push_back(std::move(input));
     }
@@ -118,6 +125,7 @@
                 break;
             }
             inputs.swap(queue);
+            queuedMessageBytes = 0;
         }
         // Messages before timers: after a slow sync or a pause, replies that arrived meanwhile count.
         const auto now = Clock::now();
@@ -183,8 +191,8 @@
         nextSnapshotTime = stored->index > 0 ? now : now + snapshotRetryInterval;
         if (stored->index > snapshotIndex) {
             snapshotIndex = stored->index;
-            const auto retained = options.snapshotEntries / retainedEntriesDivisor;
-            raft.compact(stored->index - std::min(stored->index, retained));
+            snapshotSize = stored->bytes;
+            raft.compact(stored->index - retainedEntries(stored->index));
             if (!store.compact(stored->index)) {
                 logWarning("cannot remove log files covered by a snapshot", {{"error", lastError().message}});
             }
@@ -354,9 +362,28 @@
     }
 }
 
+std::uint64_t Node::Private::retainedEntries(std::uint64_t index) const
+{
+    const RaftLog &log = raft.log();
+    std::uint64_t retained = 0;
+    while (retained < options.snapshotEntries / retainedDivisor && index - retained > log.baseIndex()
+           && log.bytes(index - retained - 1, index) <= options.snapshotBytes / retainedDivisor) {
+        ++retained;
+    }
+    return retained;
+}
+
 void Node::Private::startSnapshot(Time now)
 {
-    if (!snapshotRunning && now >= nextSnapshotTime && table.revision() >= snapshotIndex + options.snapshotEntries) {
+    const RaftLog &log = raft.log();
+    logBytes = log.bytes(log.baseIndex(), log.lastIndex());
+    if (snapshotRunning || now < nextSnapshotTime) {
+        return;
+    }
+    const auto applied = table.revision();
+    const auto appliedBytes = log.bytes(std::max(snapshotIndex, log.baseIndex()), applied);
+    if (applied >= snapshotIndex + options.snapshotEntries
+        || appliedBytes >= std::max(options.snapshotBytes, snapshotSize)) {
         snapshotRunning = true;
         addJob([this] { writeSnapshotJob(); });
     }
@@ -378,7 +405,7 @@
     if (!written) {
         logError("cannot write a snapshot; the log files are kept", {{"error", lastError().message}});
     }
-    push(SnapshotStored{written ? snapshot.last_index() : 0});
+    push(SnapshotStored{written ? snapshot.last_index() : 0, snapshot.ByteSizeLong()});
 }
 
 void Node::Private::publishStatus()
--- a/ledger/nodeloop.h
+++ b/ledger/nodeloop.h
@@ -1,6 +1,7 @@
 // Private state and event loop of a Node.
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -50,6 +51,7 @@
     struct SnapshotStored
     {
         std::uint64_t index = 0; // 0 if writing failed
+        std::uint64_t bytes = 0; // encoded size
     };
 
     // The newest snapshot was read from disk for another member.
@@ -91,6 +93,8 @@
     // Starts a snapshot if enough entries were applied since the last one.
     void startSnapshot(Time now);
     void writeSnapshotJob();
+    // Number of entries up to `index` that stay in memory after a snapshot.
+    std::uint64_t retainedEntries(std::uint64_t index) const;
     void publishStatus();
     void notifyChange();
 
@@ -109,6 +113,8 @@
     std::multimap<std::uint64_t, ReadCallback> confirmedReads; // by the log index that must be applied first
     std::uint64_t nextReadId = 1;
     std::uint64_t snapshotIndex; // last log index of the newest snapshot
+    std::uint64_t snapshotSize = 0; // bytes; 0 before this process has written one
+    std::atomic<std::uint64_t> logBytes = 0; // see Node::logBytes()
     bool snapshotRunning = false;
     Time nextSnapshotTime{}; // no snapshot is started before this time
     bool changed = false; // entries were applied since the last notification
@@ -123,8 +129,9 @@
     proto::ControlStatus currentStatus;
     std::vector<std::function<void()>> changeCallbacks;
 
-    std::mutex queueMutex; // guards the next three members
+    std::mutex queueMutex; // guards the next four members
     std::vector<Input> queue;
+    std::size_t queuedMessageBytes = 0; // encoded size of the Raft messages in the queue
     std::deque<std::function<void()>> jobs;
     bool stopping = false;
     std::condition_variable queueCondition;
--- a/ledger/raft.h
+++ b/ledger/raft.h
@@ -179,6 +179,7 @@
     void completeReads();
     void failReads();
     void replicate(Time now);
+    std::uint64_t unacknowledgedBytes(const Progress &progress) const;
     void replicateTo(const std::string &id, Progress &progress, Time now);
     void sendHeartbeats(Time now);
     std::optional<std::uint64_t> addMember(const proto::LogMember &member);
--- a/ledger/raftleader.cpp
+++ b/ledger/raftleader.cpp
@@ -15,6 +15,9 @@
 // Maximum number of entries sent to a member before it acknowledges them. Bounds the memory that a slow member costs.
 constexpr std::uint64_t maxUnacknowledgedEntries = 4096;
 
+// The same in bytes: entries are sent until this much is not acknowledged.
+constexpr std::uint64_t maxUnacknowledgedBytes = 4 << 20;
+
 // Size in bytes at which the entries of one message end; below gRPC's default message limit of 4 MB.
 constexpr std::size_t maxMessageBytes = 1 << 20;
 
@@ -400,7 +403,8 @@
         }
         return;
     }
-    while (progress.next <= m_log.stableIndex() && progress.next - progress.windowStart < maxUnacknowledgedEntries) {
+    while (progress.next <= m_log.stableIndex() && progress.next - progress.windowStart < maxUnacknowledgedEntries
+           && unacknowledgedBytes(progress) < maxUnacknowledgedBytes) {
         auto append = message(proto::RaftMessage::APPEND, id);
         const auto previous = progress.next - 1;
         append.set_log_index(previous);
@@ -415,6 +419,12 @@
     }
 }
 
+// Encoded size of the entries that were sent to a member and are not acknowledged.
+std::uint64_t Raft::unacknowledgedBytes(const Progress &progress) const
+{
+    return m_log.bytes(std::max(progress.windowStart - 1, m_log.baseIndex()), progress.next - 1);
+}
+
 proto::RaftMessage Raft::snapshotMessage(const std::string &to, proto::LogSnapshot snapshot, Time now)
 {
     auto result = message(proto::RaftMessage::SNAPSHOT, to);
--- a/ledger/raftlog.cpp
+++ b/ledger/raftlog.cpp
@@ -63,12 +63,22 @@
     if (entry.has_config()) {
         m_configs[entry.index()] = entry.config();
     }
+    m_ends.push_back((m_ends.empty() ? m_baseEnd : m_ends.back()) + entry.ByteSizeLong());
     m_entries.push_back(std::move(entry));
 }
 
+std::uint64_t RaftLog::bytes(std::uint64_t first, std::uint64_t last) const
+{
+    const auto endOf = [this](std::uint64_t index) {
+        return index == m_baseIndex ? m_baseEnd : m_ends[index - m_baseIndex - 1];
+    };
+    return last > first ? endOf(last) - endOf(first) : 0;
+}
+
 void RaftLog::truncateAfter(std::uint64_t index)
 {
     m_entries.resize(index - m_baseIndex);
+    m_ends.resize(m_entries.size());
     m_configs.erase(m_configs.upper_bound(index), m_configs.end());
     m_stableIndex = std::min(m_stableIndex, index);
 }
@@ -80,6 +90,8 @@
     }
     const auto newTerm = term(index);
     const auto newConfig = configAt(index);
+    m_baseEnd += bytes(m_baseIndex, index);
+    m_ends.erase(m_ends.begin(), m_ends.begin() + static_cast<std::ptrdiff_t>(index - m_baseIndex));
     m_entries.erase(m_entries.begin(), m_entries.begin() + static_cast<std::ptrdiff_t>(index - m_baseIndex));
     m_configs.erase(m_configs.begin(), m_configs.upper_bound(index));
     m_configs[index] = newConfig;
--- a/ledger/raftlog.h
+++ b/ledger/raftlog.h
@@ -35,6 +35,9 @@
     // there is any.
     std::vector<proto::LogEntry> slice(std::uint64_t first, std::uint64_t last, std::size_t maxBytes) const;
 
+    // Encoded size in bytes of the entries after `first` up to `last`, both within baseIndex() to lastIndex().
+    std::uint64_t bytes(std::uint64_t first, std::uint64_t last) const;
+
     // Appends an entry, whose index must be lastIndex() + 1.
     void append(proto::LogEntry entry);
 
@@ -61,6 +64,8 @@
     std::uint64_t m_baseTerm;
     std::uint64_t m_stableIndex;
     std::deque<proto::LogEntry> m_entries;
+    std::deque<std::uint64_t> m_ends; // by entry: encoded size of all entries ever appended up to this one
+    std::uint64_t m_baseEnd = 0; // the same for the base index
     std::map<std::uint64_t, proto::LogConfig> m_configs; // by index; the first one applies from the base index on
 };
 
--- a/ledger/wal.h
+++ b/ledger/wal.h
@@ -14,7 +14,7 @@
 {
 
 // Size in bytes at which the log continues in a new segment.
-constexpr std::uint64_t segmentRotationBytes = 16ULL << 20;
+constexpr std::uint64_t segmentRotationBytes = 4ULL << 20;
 
 // The open log of one data folder. Not thread-safe.
 class Wal
--- a/tests/ledger_group.h
+++ b/tests/ledger_group.h
@@ -58,8 +58,9 @@
 class NodeGroup
 {
 public:
-    explicit NodeGroup(int size, std::uint64_t snapshotEntries = 10000)
+    explicit NodeGroup(int size, std::uint64_t snapshotEntries = 10000, std::uint64_t snapshotBytes = 4 << 20)
         : m_snapshotEntries(snapshotEntries)
+        , m_snapshotBytes(snapshotBytes)
     {
         for (int i = 1; i <= size; ++i) {
             auto *member = m_config.add_members();
@@ -92,6 +93,7 @@
         options.initialConfig = m_config;
         options.join = join;
         options.snapshotEntries = m_snapshotEntries;
+        options.snapshotBytes = m_snapshotBytes;
         options.send = [this](const proto::RaftMessage &message) { deliver(message); };
         auto node = Node::open(std::move(options));
         if (!node) {
@@ -200,6 +202,7 @@
 
     TemporaryFolder m_folder;
     std::uint64_t m_snapshotEntries;
+    std::uint64_t m_snapshotBytes;
     proto::LogConfig m_config;
     mutable std::shared_mutex m_mutex;
     std::map<std::string, std::shared_ptr<Node>> m_nodes;
--- a/tests/test_node.cpp
+++ b/tests/test_node.cpp
@@ -1,6 +1,7 @@
 // Nodes with real threads and files: replication, restart, leader change, lost disks.
 #include <catch2/catch.hpp>
 
+#include "ledger/wal.h"
 #include "ledger_group.h"
 
 using namespace banyanledge;
@@ -79,6 +80,43 @@
     }));
 }
 
+// Guards against a log whose size is bounded by the number of its entries only: a few hundred large declarations filled
+// the memory of all control hosts, again after each restart.
+TEST_CASE("large changes leave a bounded log in memory and on disk, also while a member is down")
+{
+    constexpr std::uint64_t entryBytes = 100 << 10;
+    constexpr std::uint64_t snapshotBytes = 1 << 20;
+    constexpr int changes = 200;
+    NodeGroup group(3, 10000, snapshotBytes);
+    const std::string down = group.waitLeader() == "c1" ? "c2" : "c1";
+    group.stop(down);
+    proto::Command command;
+    command.set_actor("test");
+    std::uint64_t largest = 0;
+    for (int version = 1; version <= changes; ++version) {
+        command.set_change_id("change-" + std::to_string(version));
+        auto &declaration = *command.mutable_put_declaration()->mutable_declaration();
+        declaration.set_version(static_cast<std::uint64_t>(version));
+        declaration.set_original(std::string(entryBytes, 'x'));
+        REQUIRE(group.propose(command).kind() == proto::ERROR_NONE);
+        largest = std::max(largest, group.node(group.waitLeader())->logBytes());
+    }
+    // What comes while a snapshot is written is added to what one snapshot covers and what stays after it.
+    CHECK(largest < 4 * snapshotBytes);
+    REQUIRE(group.start(down));
+    const auto hasNewest = [&] {
+        std::uint64_t version = 0;
+        group.node(down)->readTable([&](const Table &table) { version = table.declaration().version(); });
+        return version == changes;
+    };
+    CHECK(eventually(hasNewest));
+    std::uint64_t diskBytes = 0;
+    for (const auto &file : std::filesystem::directory_iterator(group.folder(group.waitLeader()))) {
+        diskBytes += file.file_size();
+    }
+    CHECK(diskBytes < 2 * segmentRotationBytes + 4 * snapshotBytes);
+}
+
 // Guards against a host that lost its disk and counts toward a majority before it has caught up, and against one that
 // never becomes a voter again.
 TEST_CASE("a host that lost its disk becomes a voter again with a new identity")
