Keep the function of an endless response alive until the fixture has run what is left in its loop

test_gateway ended with SIGSEGV in "bytes without end from a server ..." in 2 of 20 runs beside load; the first was listed as one failed assertion.

Cause, from a backtrace: the test's local function was destroyed before the fixture, whose destructor polls the loop and so calls it once more, with a freed closure (test_gateway.cpp:693 below ~GatewayFixture). The product is not involved.

Change: the function, its buffer and counter are declared before the fixture. All checks are unchanged; the case passes.

--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -680,13 +680,15 @@
         {"", "bytes that are no response "},
     }));
     CAPTURE(head, repeated);
-    GatewayFixture fixture(1);
     std::string piece;
     while (piece.size() < 16384) {
         piece += repeated;
     }
     std::size_t sent = 0;
-    std::function<void(Connection)> sendPiece = [&](const Connection &connection) {
+    // Declared before the fixture, whose destructor runs what is left in the loop: the last call of this function.
+    std::function<void(Connection)> sendPiece;
+    GatewayFixture fixture(1);
+    sendPiece = [&](const Connection &connection) {
         if (fixture.servers[0].disconnects == 0) {
             connection->write(piece);
             sent += piece.size();
