--- a/review/6/case.py
+++ b/review/6/case.py
@@ -91,12 +91,16 @@
             if not machine.running():
                 continue
             folder = f"/proc/{machine.process.pid}/fd"
-            for entry in os.listdir(folder):
+            try:
+                entries = os.listdir(folder)
+            except OSError:
+                continue  # the process has just ended
+            for entry in entries:
                 try:
                     if os.readlink(f"{folder}/{entry}") in inodes:
                         return machine.name
                 except OSError:
-                    pass
+                    pass  # closed meanwhile
         return None
 
     def set_cut(self, name):
