--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -180,6 +180,7 @@
     def arrived(self, backend, request_id, method, target, headers, body):
         self.runs.setdefault(request_id, []).append(
             (self.now(), backend.name, target, headers.get("x-tenant"), len(body)))
+        self.log(f"backend {backend.name}: runs {request_id}")
         if self.on_arrival:
             self.on_arrival(backend, request_id, method, target, headers, body)
 
