--- a/review/6/case.py
+++ b/review/6/case.py
@@ -124,7 +124,7 @@
     members = ", ".join(f"{name}={fleet.ip(150 + number)}:{INTERNAL}" for number, name in enumerate(cores))
     fleet.edit_settings = lambda machine, text: "\n".join(
         line for line in text.splitlines() if machine.role != "control" or not line.startswith(
-            ("seeds =", "seed_rpc_port", "bootstrap", "tolerated_losses"))).replace(
+            "seeds =")).replace(
                 "[control]\n", f"[control]\ninitial_members = {members}\n") + "\n"
     fleet.add_machine("front-1", "gateway", "cardiff", 10)
     await fleet.add_backend("i-stays", "svc", "cardiff")
--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -16,7 +16,7 @@
 import time
 
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-DAEMON = os.environ.get("BANYANLEDGED", os.path.join(REPOSITORY, "target", "apps", "banyanledged"))
+DAEMON = os.path.join(REPOSITORY, "target", "apps", "banyanledged")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 # Bounds of sites/coffi-hub.toml, in seconds.
@@ -311,7 +311,7 @@
         self.seeds = controls[:3]
         await asyncio.gather(*(self.launch(name) for name in controls + fronts))
         self.bootstrapped = True
-        if await self.put(desired, deadline_s=20) is None:
+        if await self.put(desired, deadline_s=40) is None:
             raise CannotRun("the first desired state was not acknowledged")
         end = time.monotonic() + 20
         while time.monotonic() < end:
@@ -325,6 +325,7 @@
     # ------------------------------------------------------------------ clients
     async def request(self, front, method, target, host, key, request_id, deadline_ms=1500, body=b""):
         headers = {"X-Request-Id": request_id, "X-Deadline-Ms": deadline_ms, "Authorization": f"Bearer {key}"}
+        self.log(f"client: sends {request_id} to {front}")
         return await call(self.machines[front].ip, FRONT, method, target, headers, body, deadline_ms / 1000, host)
 
     def close(self):
@@ -351,6 +352,9 @@
     2 if the case could not run."""
     async def run():
         fleet = Fleet(folder)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # ends the processes also when it is ended itself
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 breaks = await case(fleet)
@@ -359,7 +363,7 @@
             fleet.log(f"{len(breaks)} breaks; TROUBLE={int(TROUBLE)}")
             print(f"{len(breaks)} breaks of the rule" + "".join(f"\n  {text}" for text in breaks[:5]))
             return 1 if breaks else 0
-        except Exception as error:  # a failure of the script says nothing about the rule
+        except (Exception, asyncio.CancelledError) as error:  # a failure of the script says nothing about the rule
             fleet.log(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
             return 2
