--- a/gateway/upstream.cpp
+++ b/gateway/upstream.cpp
@@ -278,7 +278,7 @@
                 fail(AttemptResult::NoResponse, "invalid HTTP response: " + m_parser.errorMessage());
                 return;
             }
-            m_heldBytes.set(memoryBytes(m_parser.head().headers));
+            m_heldBytes.set(m_parser.headMemoryBytes());
             if (!m_headDelivered && headTooLarge()) {
                 fail(AttemptResult::NoResponse, "the head of the response is too large");
                 return;
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -6,6 +6,9 @@
 #include <array>
 #include <cctype>
 
+#include "base/error.h"
+#include "net/messagelines.h"
+
 namespace banyanledge
 {
 
@@ -161,17 +164,37 @@
 
 struct HttpParser::Private
 {
+    explicit Private(Kind kind)
+        : kind(kind)
+    {
+        http_parser_init(&parser, kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+        parser.data = this;
+    }
+
+    std::size_t readHead(std::string_view bytes);
+    void readLine(std::string_view piece);
+    std::size_t execute(std::string_view bytes);
+
+    void fail(const std::string &reason)
+    {
+        failed = true;
+        error = reason;
+    }
+
+    Kind kind;
     http_parser parser{};
+    MessageLines lines{kind == Kind::Request ? MessageLines::Kind::Request : MessageLines::Kind::Response};
+    std::string partialLine; // start of a line whose end has not arrived
     HttpHead head;
     std::string body;
+    bool headEnded = false; // the empty line after the head has been read
     bool headComplete = false;
     bool complete = false;
     bool failed = false;
+    std::string error; // reason when `failed` is set
     bool noBody = false; // set by expectNoBody()
     bool valueStarted = false; // the last header has received bytes of its value
     std::size_t headBytes = 0;
-    const char *fed = nullptr; // bytes of the current feed()
-    std::optional<std::size_t> bodyOffset; // of the first body byte in the current feed()
 
     static Private &of(http_parser *parser)
     {
@@ -239,9 +262,6 @@
     {
         auto &self = of(parser);
         self.body.append(data, size);
-        if (!self.bodyOffset) {
-            self.bodyOffset = static_cast<std::size_t>(data - self.fed);
-        }
         return 0;
     }
 
@@ -254,18 +274,42 @@
     }
 };
 
-HttpParser::HttpParser(Kind kind)
-    : d(std::make_unique<Private>())
+// Takes the bytes that belong to the head and returns how many these are. The library reads a line only after it was
+// checked, because it accepts more than the standard allows.
+std::size_t HttpParser::Private::readHead(std::string_view bytes)
 {
-    http_parser_init(&d->parser, kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
-    d->parser.data = d.get();
+    std::size_t used = 0;
+    while (used < bytes.size() && !headEnded && !failed) {
+        const std::string_view rest = bytes.substr(used);
+        const std::string_view piece = rest.substr(0, std::min(rest.find('\n'), rest.size() - 1) + 1);
+        used += piece.size();
+        readLine(piece);
+    }
+    headBytes += used;
+    if (!failed) {
+        execute(bytes.substr(0, used));
+    }
+    return used;
 }
 
-HttpParser::~HttpParser() = default;
-HttpParser::HttpParser(HttpParser &&) noexcept = default;
-HttpParser &HttpParser::operator=(HttpParser &&) noexcept = default;
+// Checks a line once its end has arrived.
+void HttpParser::Private::readLine(std::string_view piece)
+{
+    if (!piece.ends_with('\n')) {
+        partialLine += piece;
+        return;
+    }
+    const auto line = lines.read(partialLine.empty() ? piece : partialLine.append(piece));
+    partialLine = {};
+    if (!line) {
+        fail(lastError().message);
+        return;
+    }
+    headEnded = std::holds_alternative<SectionEnd>(*line);
+}
 
-std::size_t HttpParser::feed(std::string_view bytes)
+// Passes bytes to the library and returns how many belong to the message.
+std::size_t HttpParser::Private::execute(std::string_view bytes)
 {
     static const http_parser_settings settings = [] {
         http_parser_settings result;
@@ -278,21 +322,35 @@
         result.on_message_complete = Private::onComplete;
         return result;
     }();
-    if (d->complete || d->failed || bytes.empty()) {
-        return 0;
+    const std::size_t used = http_parser_execute(&parser, &settings, bytes.data(), bytes.size());
+    const auto code = HTTP_PARSER_ERRNO(&parser);
+    if (code == HPE_PAUSED) {
+        http_parser_pause(&parser, 0);
+    } else if (code != HPE_OK) {
+        fail(http_errno_description(code));
+        return used;
     }
-    const bool inHead = !d->headComplete;
-    d->fed = bytes.data();
-    d->bodyOffset.reset();
-    const std::size_t used = http_parser_execute(&d->parser, &settings, bytes.data(), bytes.size());
-    const auto error = HTTP_PARSER_ERRNO(&d->parser);
-    if (error == HPE_PAUSED) {
-        http_parser_pause(&d->parser, 0);
-    } else if (error != HPE_OK) {
-        d->failed = true;
+    if (headComplete != headEnded) {
+        fail("the end of the head is ambiguous");
     }
-    if (inHead) {
-        d->headBytes += d->bodyOffset.value_or(used);
+    return used;
+}
+
+HttpParser::HttpParser(Kind kind)
+    : d(std::make_unique<Private>(kind))
+{
+}
+
+HttpParser::~HttpParser() = default;
+HttpParser::HttpParser(HttpParser &&) noexcept = default;
+HttpParser &HttpParser::operator=(HttpParser &&) noexcept = default;
+
+std::size_t HttpParser::feed(std::string_view bytes)
+{
+    std::size_t used = 0;
+    while (used < bytes.size() && !d->complete && !d->failed) {
+        const std::string_view rest = bytes.substr(used);
+        used += d->headEnded ? d->execute(rest) : d->readHead(rest);
     }
     return used;
 }
@@ -326,7 +384,7 @@
 
 std::string HttpParser::errorMessage() const
 {
-    return http_errno_description(HTTP_PARSER_ERRNO(&d->parser));
+    return d->error;
 }
 
 std::size_t HttpParser::headBytes() const
@@ -334,6 +392,11 @@
     return d->headBytes;
 }
 
+std::size_t HttpParser::headMemoryBytes() const
+{
+    return memoryBytes(d->head.headers) + d->partialLine.capacity();
+}
+
 const HttpHead &HttpParser::head() const
 {
     return d->head;
@@ -346,10 +409,7 @@
 
 void HttpParser::reset()
 {
-    const auto type = static_cast<http_parser_type>(d->parser.type);
-    *d = Private();
-    http_parser_init(&d->parser, type);
-    d->parser.data = d.get();
+    d = std::make_unique<Private>(d->kind);
 }
 
 } // namespace banyanledge
--- a/net/http.h
+++ b/net/http.h
@@ -28,7 +28,7 @@
 {
     std::string method; // of a request
     std::string target; // of a request, with its query
-    int status = 0; // of a response
+    int status = 0; // of a response, from 100 to 599; 0 until the head is complete
     HttpHeaders headers;
     bool keepAlive = false; // the sender may use the connection again
     bool chunked = false;
@@ -76,6 +76,7 @@
     bool failed() const; // the bytes are not valid HTTP
     std::string errorMessage() const; // what is wrong, for logs
     std::size_t headBytes() const; // size of the head so far
+    std::size_t headMemoryBytes() const; // memory that the head takes
 
     const HttpHead &head() const;
 
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -1,5 +1,6 @@
-banyan_test(test_http unit test_http.cpp LINK banyan_net)
+banyan_test(test_http unit test_http.cpp response_cases.cpp LINK banyan_net)
 banyan_test(test_gateway unit test_gateway.cpp gateway_fixture.cpp LINK banyan_gateway)
+banyan_test(test_gateway_responses unit test_gateway_responses.cpp gateway_fixture.cpp response_cases.cpp LINK banyan_gateway)
 banyan_test(test_limits unit test_limits.cpp gateway_fixture.cpp LINK banyan_gateway banyan_control)
 banyan_test(test_blocking unit test_blocking.cpp gateway_fixture.cpp LINK banyan_gateway)
 banyan_test(test_restarts unit test_restarts.cpp gateway_fixture.cpp LINK banyan_gateway banyan_control)
--- /dev/null
+++ b/tests/response_cases.cpp
@@ -0,0 +1,92 @@
+#include "response_cases.h"
+
+#include <string_view>
+
+namespace banyanledge
+{
+
+namespace
+{
+
+using namespace std::string_literals;
+
+// Header fields that make the response one to the request, see GatewayFixture.
+const std::string identity = "Req-Id: a\r\nSigned: s\r\n";
+
+const std::string chunkedFields = "Transfer-Encoding: chunked\r\n";
+
+// A response with the body "body" whose status line and further fields may be broken.
+std::string response(const std::string &statusLine, const std::string &fields = {})
+{
+    return statusLine + "\r\n" + identity + fields + "Content-Length: 4\r\n\r\nbody";
+}
+
+std::string withField(const std::string &line)
+{
+    return response("HTTP/1.1 200 OK", line + "\r\n");
+}
+
+// A response whose framing is all in `fields`.
+std::string framed(const std::string &fields, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\n" + identity + fields + "\r\n" + body;
+}
+
+std::string chunked(const std::string &body)
+{
+    return framed(chunkedFields, body);
+}
+
+std::string withoutCarriageReturns(std::string text)
+{
+    std::erase(text, '\r');
+    return text;
+}
+
+void addBrokenStatuses(std::vector<ResponseCase> &cases)
+{
+    for (const char *status : {"000", "001", "099", "600", "999", "0", "9", "20", "0200", "00200", "2000", "2x0", "-20",
+                               "+20", "200OK", "20 0", ""}) {
+        cases.push_back({"status '"s + status + "'", response("HTTP/1.1 "s + status + " X")});
+    }
+}
+
+} // namespace
+
+std::vector<ResponseCase> soundResponses()
+{
+    const std::string plain = response("HTTP/1.1 200 OK");
+    return {
+        {"plain", plain, 200, "body"},
+        {"no reason", response("HTTP/1.1 200 "), 200, "body"},
+        {"no reason and no space", response("HTTP/1.1 200"), 200, "body"},
+        {"reason with a tab and bytes over 0x7f", response("HTTP/1.1 200 G\xc3\xbc\tt"), 200, "body"},
+        {"several spaces before the status", response("HTTP/1.1  200 OK"), 200, "body"},
+        {"unregistered success", response("HTTP/1.1 299 Other"), 299, "body"},
+        {"unregistered client error", response("HTTP/1.1 499 Other"), 499, "body"},
+        {"largest status", response("HTTP/1.1 599 Other"), 599, "body"},
+        {"HTTP/1.0", response("HTTP/1.0 200 OK"), 200, "body"},
+        {"lines that end with LF", withoutCarriageReturns(plain), 200, "body"},
+        {"all characters of a token", withField("!#$%&'*+-.^_`|~09azAZ: v"), 200, "body"},
+        {"empty value", withField("X:"), 200, "body"},
+        {"value with tabs and bytes over 0x7f", withField("X: \t a\t\x80\xff b"), 200, "body"},
+        {"zero before the length", framed("content-LENGTH: 04 \r\n", "body"), 200, "body"},
+        {"empty body", framed("Content-Length: 0\r\n", ""), 200, ""},
+        {"204", "HTTP/1.1 204 X\r\n" + identity + "\r\n", 204, ""},
+        {"304", "HTTP/1.1 304 X\r\n" + identity + "\r\n", 304, ""},
+        {"interim responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: x\r\n\r\n" + plain, 200, "body"},
+        {"chunked in upper case", framed("TRANSFER-encoding:CHUNKED\r\n", "4\r\nbody\r\n0\r\n\r\n"), 200, "body"},
+        {"chunk extensions", chunked("04;a=\"b\xff\tc\";d\r\nbody\r\n00 ;e\r\n\r\n"), 200, "body"},
+        {"line ends in chunks", chunked("4\r\n\r\n\r\n\r\n2\r\n0\r\r\n0\r\n\r\n"), 200, "\r\n\r\n0\r"},
+        {"trailers", chunked("4\r\nbody\r\n0\r\nX: y\r\nSigned: other\r\n\r\n"), 200, "body"},
+    };
+}
+
+std::vector<ResponseCase> brokenHeads()
+{
+    std::vector<ResponseCase> cases;
+    addBrokenStatuses(cases);
+    return cases;
+}
+
+} // namespace banyanledge
--- /dev/null
+++ b/tests/test_gateway_responses.cpp
@@ -0,0 +1,118 @@
+// Tests what clients of a gateway get when a backend server sends unusual or broken responses.
+#include <asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "gateway_fixture.h"
+#include "response_cases.h"
+
+using namespace banyanledge;
+
+namespace
+{
+
+using Connection = std::shared_ptr<ScriptedConnection>;
+
+// Requests that a server receives, one after the other, from a gateway that counts each of them as failed. Later ones
+// go to other servers.
+constexpr std::size_t maxFailuresBeforeEjection = 4;
+
+void respondAlways(ScriptedServer &server, const std::string &bytes)
+{
+    server.onRequest = [bytes](const Connection &connection, const ReceivedRequest &) { connection->write(bytes); };
+}
+
+} // namespace
+
+// Guards against a check of responses that refuses what the standard allows, or changes it.
+TEST_CASE("unusual responses arrive whole")
+{
+    const std::string kind = GENERATE("safe", "unsafe", "download");
+    for (const ResponseCase &sound : soundResponses()) {
+        CAPTURE(kind, sound.name);
+        GatewayFixture fixture(1);
+        respondAlways(fixture.servers[0], sound.bytes);
+        const auto response = fixture.call(GatewayFixture::request(kind, "a"));
+        CHECK(response.complete);
+        CHECK(response.status() == sound.status);
+        CHECK(response.body == sound.body);
+        CHECK(response.header("Signed") == "s");
+        CHECK(fixture.servers[0].received.size() == 1);
+    }
+}
+
+// Guards against a broken response that reaches the client, in whole or in part, as an answer of the server, is taken
+// for a statement that the request has not run, or leaves a connection whose next bytes belong to no request.
+TEST_CASE("a broken response is not passed on, and its connection is not used again")
+{
+    const std::string kind = GENERATE("safe", "unsafe", "download");
+    for (const ResponseCase &broken : brokenHeads()) {
+        CAPTURE(kind, broken.name);
+        GatewayFixture fixture(1);
+        respondAlways(fixture.servers[0], broken.bytes);
+        const auto response = fixture.call(GatewayFixture::request(kind, "a"));
+        CHECK(response.complete);
+        CHECK(response.status() == 502);
+        CHECK(response.header("Signed").empty());
+        CHECK(fixture.servers[0].received.size() == 1);
+        if (response.status() != 502) {
+            continue;
+        }
+        fixture.runUntil([&] { return fixture.servers[0].disconnects == 1; });
+        fixture.servers[0].onRequest = [](const Connection &connection, const ReceivedRequest &request) {
+            connection->respond(request, 200, "next");
+        };
+        CHECK(fixture.call(GatewayFixture::request(kind, "b")).body == "next");
+        CHECK(fixture.servers[0].usedConnections == 2);
+    }
+}
+
+// Guards against a server that sends only broken responses and counts as healthy.
+TEST_CASE("broken responses count as failures of their server")
+{
+    for (const ResponseCase &broken : brokenHeads()) {
+        CAPTURE(broken.name);
+        GatewayFixture fixture(2);
+        respondAlways(fixture.servers[0], broken.bytes);
+        for (int i = 0; i < 12; ++i) {
+            CHECK(fixture.call(GatewayFixture::request("safe", "a")).status() == 200);
+        }
+        CHECK(fixture.servers[0].received.size() <= maxFailuresBeforeEjection);
+    }
+}
+
+// Guards against a request that runs twice, because the broken response of the server that ran it says that it has not.
+TEST_CASE("a broken response that says not run is no promise")
+{
+    for (const ResponseCase &broken : brokenHeads()) {
+        CAPTURE(broken.name);
+        GatewayFixture fixture(2);
+        std::string bytes = broken.bytes;
+        const auto fields = bytes.find("\r\nSigned");
+        REQUIRE(fields != std::string::npos);
+        bytes.insert(fields, "\r\nNot-Run: 1");
+        for (auto &server : fixture.servers) {
+            respondAlways(server, bytes);
+        }
+        CHECK(fixture.call(GatewayFixture::request("unsafe", "a", {}, "x")).status() == 502);
+        CHECK(fixture.servers[0].received.size() + fixture.servers[1].received.size() == 1);
+    }
+}
+
+// Guards against a server that gets no more requests because of what a broken response says of it.
+TEST_CASE("what a broken response says of its server is not believed")
+{
+    for (const ResponseCase &broken : brokenHeads()) {
+        CAPTURE(broken.name);
+        GatewayFixture fixture(1);
+        std::string bytes = broken.bytes;
+        const auto fields = bytes.find("\r\nSigned");
+        REQUIRE(fields != std::string::npos);
+        bytes.insert(fields, "\r\nLeaving: 1");
+        respondAlways(fixture.servers[0], bytes);
+        CHECK(fixture.call(GatewayFixture::request("unsafe", "a", {}, "x")).status() == 502);
+        fixture.servers[0].onRequest = [](const Connection &connection, const ReceivedRequest &request) {
+            connection->respond(request, 200, "next");
+        };
+        CHECK(fixture.call(GatewayFixture::request("unsafe", "b", {}, "x")).status() == 200);
+    }
+}
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "net/http.h"
+#include "response_cases.h"
 
 using namespace banyanledge;
 
@@ -22,6 +23,18 @@
     return used;
 }
 
+// Reads a final response and the interim ones before it. Sets `used` to the number of bytes that they took.
+HttpParser parseResponse(const std::string &text, std::size_t step, std::size_t &used)
+{
+    HttpParser parser(HttpParser::Kind::Response);
+    used = feedAll(parser, text, step);
+    while (parser.complete() && parser.head().status / 100 == 1) {
+        parser.reset();
+        used += feedAll(parser, text.substr(used), step);
+    }
+    return parser;
+}
+
 } // namespace
 
 // Guards against a parser that consumes bytes of the next message, which would mix two requests.
@@ -71,6 +84,29 @@
     CHECK(withoutLength.takeBody() == "abc");
 }
 
+// Guards against a check whose result depends on how the bytes arrive.
+TEST_CASE("unusual responses are read whole, broken ones are refused")
+{
+    const auto step = GENERATE(std::size_t(1), std::size_t(7), std::size_t(1000));
+    for (const ResponseCase &sound : soundResponses()) {
+        CAPTURE(step, sound.name);
+        std::size_t used = 0;
+        HttpParser parser = parseResponse(sound.bytes, step, used);
+        CHECK(used == sound.bytes.size());
+        CHECK(parser.complete());
+        CHECK_FALSE(parser.failed());
+        CHECK(parser.head().status == sound.status);
+        CHECK(parser.takeBody() == sound.body);
+    }
+    for (const ResponseCase &broken : brokenHeads()) {
+        CAPTURE(step, broken.name);
+        std::size_t used = 0;
+        const HttpParser parser = parseResponse(broken.bytes, step, used);
+        CHECK(parser.failed());
+        CHECK_FALSE(parser.errorMessage().empty());
+    }
+}
+
 // Guards against request smuggling by a message with two lengths.
 TEST_CASE("ambiguous lengths and other protocols are refused")
 {
