--- a/net/http.cpp
+++ b/net/http.cpp
@@ -20,17 +20,6 @@
     return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
-        text.remove_suffix(1);
-    }
-    return text;
-}
-
 // Calls `visit` with each element of a comma-separated list.
 template<typename Visit>
 void forEachElement(std::string_view list, Visit visit)
--- a/net/messagelines.cpp
+++ b/net/messagelines.cpp
@@ -16,6 +16,16 @@
     return character >= '0' && character <= '9';
 }
 
+bool isLetter(char character)
+{
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+}
+
+bool isBlank(char character)
+{
+    return character == ' ' || character == '\t';
+}
+
 // Text after the leading characters up to the next blank, which it takes off `text`.
 std::string_view takeWord(std::string_view &text)
 {
@@ -59,6 +69,18 @@
     return parseStatus(takeWord(line));
 }
 
+// Name and value of "NAME: VALUE"; nullopt with lastError() when the name is not valid. A blank before the colon makes
+// it invalid, because other readers take the name without it.
+std::optional<FieldLine> parseFieldLine(std::string_view line)
+{
+    const auto colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    if (colon == std::string_view::npos || !isToken(name)) {
+        return fail(proto::ERROR_INVALID, "the name of a header is not a token");
+    }
+    return FieldLine{name, trimmed(line.substr(colon + 1))};
+}
+
 } // namespace
 
 bool isValidStatus(int status)
@@ -66,6 +88,25 @@
     return status >= 100 && status <= 599;
 }
 
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [symbols](char character) {
+        return isLetter(character) || isDigit(character) || symbols.find(character) != std::string_view::npos;
+    });
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && isBlank(text.front())) {
+        text.remove_prefix(1);
+    }
+    while (!text.empty() && isBlank(text.back())) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
 MessageLines::MessageLines(Kind kind)
     : m_kind(kind)
 {
@@ -74,18 +115,34 @@
 std::optional<MessageLine> MessageLines::read(std::string_view line)
 {
     const std::string_view text = withoutLineEnd(line);
-    if (m_started) {
-        return text.empty() ? MessageLine(SectionEnd()) : MessageLine(FieldLine());
-    }
-    if (text.empty()) {
+    return m_started ? readSectionLine(text) : readStartLine(text);
+}
+
+std::optional<MessageLine> MessageLines::readStartLine(std::string_view line)
+{
+    if (line.empty()) {
         return EmptyLine();
     }
     m_started = true;
     if (m_kind == Kind::Request) {
         return StartLine();
     }
-    const auto status = parseStatusLine(text);
+    const auto status = parseStatusLine(line);
     return status ? std::optional<MessageLine>(StartLine{*status}) : std::nullopt;
 }
 
+std::optional<MessageLine> MessageLines::readSectionLine(std::string_view line)
+{
+    if (line.empty()) {
+        m_hasField = false;
+        return SectionEnd();
+    }
+    if (m_hasField && isBlank(line.front())) {
+        return FieldContinuation{trimmed(line)};
+    }
+    m_hasField = true;
+    const auto field = parseFieldLine(line);
+    return field ? std::optional<MessageLine>(*field) : std::nullopt;
+}
+
 } // namespace banyanledge
--- a/net/messagelines.h
+++ b/net/messagelines.h
@@ -11,6 +11,12 @@
 // Whether a response may have this status.
 bool isValidStatus(int status);
 
+// Whether the text is a token, as the name of a field has to be.
+bool isToken(std::string_view text);
+
+// The text without the blanks and tabs around it.
+std::string_view trimmed(std::string_view text);
+
 // An empty line before the start line, which means nothing.
 struct EmptyLine
 {
@@ -22,9 +28,17 @@
     int status = 0; // of a response
 };
 
-// A line between the start line and the end of the head, or between the last chunk and the end of the message.
+// A field of the head or of the trailers. The views refer to the line.
 struct FieldLine
 {
+    std::string_view name;
+    std::string_view value; // without the blanks and tabs around it
+};
+
+// Continues the value of the field before it (obs-fold).
+struct FieldContinuation
+{
+    std::string_view value; // without the blanks and tabs around it
 };
 
 // The empty line that ends the head, or the trailers after a chunked body.
@@ -32,7 +46,7 @@
 {
 };
 
-using MessageLine = std::variant<EmptyLine, StartLine, FieldLine, SectionEnd>;
+using MessageLine = std::variant<EmptyLine, StartLine, FieldLine, FieldContinuation, SectionEnd>;
 
 // Reads the lines of one message head, then those of its trailers.
 class MessageLines
@@ -47,8 +61,12 @@
     std::optional<MessageLine> read(std::string_view line);
 
 private:
+    std::optional<MessageLine> readStartLine(std::string_view line);
+    std::optional<MessageLine> readSectionLine(std::string_view line);
+
     Kind m_kind;
     bool m_started = false; // the start line has been read
+    bool m_hasField = false; // a field of the present section has been read
 };
 
 } // namespace banyanledge
--- a/tests/response_cases.cpp
+++ b/tests/response_cases.cpp
@@ -49,6 +49,55 @@
                                "+20", "200OK", "20 0", ""}) {
         cases.push_back({"status '"s + status + "'", response("HTTP/1.1 "s + status + " X")});
     }
+    const std::string next = identity + "\r\n" + response("HTTP/1.1 200 OK");
+    cases.push_back({"four digits in an interim response", "HTTP/1.1 0100 X\r\n" + next});
+    cases.push_back({"status 099 before the response", "HTTP/1.1 099 X\r\n" + next});
+}
+
+void addBrokenNames(std::vector<ResponseCase> &cases)
+{
+    for (const std::string &name : {"X Y"s, "X "s, "X\tY"s, "X\t"s,
+                                    "X\0"
+                                    "Y"s,
+                                    "X\x01"
+                                    "Y"s,
+                                    "X\x7f"
+                                    "Y"s,
+                                    "X\x80"
+                                    "Y"s,
+                                    "X\xff"
+                                    "Y"s,
+                                    ""s, "HTTP/1.1 404 X"s}) {
+        cases.push_back({"name '" + name + "'", withField(name + ": v")});
+    }
+    for (const char separator : "()<>@,;\\\"/[]?={}"s) {
+        cases.push_back({"name with "s + separator, withField("X"s + separator + "Y: v")});
+    }
+    const std::string rest = identity + "Content-Length: 4\r\n\r\nbody";
+    cases.push_back({"blank before the first name", "HTTP/1.1 200 OK\r\n X: v\r\n" + rest});
+    cases.push_back({"tab before the first name", "HTTP/1.1 200 OK\r\n\tX: v\r\n" + rest});
+    cases.push_back({"no colon", withField("X")});
+    cases.push_back({"second status line", withField("HTTP/1.1 200 OK")});
+    cases.push_back({"blank in a name of an interim response",
+                     "HTTP/1.1 103 X\r\nX Y: z\r\n" + identity + "\r\n" + response("HTTP/1.1 200 OK")});
+    cases.push_back({"blank in the name of the length", framed("Content-Length : 4\r\n", "body")});
+    cases.push_back({"blank in the name of a second length", withField("Content-Length : 2")});
+    cases.push_back(
+        {"blank in the name of the coding", framed("Transfer-Encoding : chunked\r\n", "4\r\nbody\r\n0\r\n\r\n")});
+    cases.push_back({"blank in the name of a coding beside a length", withField("Transfer-Encoding : chunked")});
+}
+
+void addBrokenValues(std::vector<ResponseCase> &cases)
+{
+    for (const std::string &value : {"a\0"
+                                     "b"s,
+                                     "a\x01"
+                                     "b"s,
+                                     "a\x7f"
+                                     "b"s,
+                                     "a\rb"s, "a\rY: b"s, "a\r"s}) {
+        cases.push_back({"value '" + value + "'", withField("X: " + value)});
+    }
 }
 
 } // namespace
@@ -86,6 +135,8 @@
 {
     std::vector<ResponseCase> cases;
     addBrokenStatuses(cases);
+    addBrokenNames(cases);
+    addBrokenValues(cases);
     return cases;
 }
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -994,6 +994,22 @@
     CHECK(receivedRequestCount(fixture) == 0);
 }
 
+// Guards against a request that shows its server two lengths, or a customer beside the one whose key it carries.
+TEST_CASE("a request with a blank in the name of a header is refused and not forwarded")
+{
+    const std::string line =
+        GENERATE("X Y: z", "Customer : other", "Content-Length : 5", "Transfer-Encoding : chunked", " Object: 1");
+    GatewayFixture fixture(1);
+    std::string request = GatewayFixture::request("unsafe", "a", {}, "x");
+    request.insert(request.find("\r\n") + 2, line + "\r\n");
+    const auto socket = fixture.connect();
+    asio::write(*socket, asio::buffer(request));
+    CHECK(fixture.receiveResponse(*socket).status() == 400);
+    fixture.runFor(milliseconds(20));
+    CHECK(fixture.servers[0].received.empty());
+    CHECK_FALSE(fixture.receiveResponse(*socket).complete); // the connection has ended
+}
+
 TEST_CASE("look-ups return the live hosts of the client's region, or all hosts when it has none")
 {
     GatewayFixture fixture(1);
