--- a/net/http.cpp
+++ b/net/http.cpp
@@ -281,11 +281,16 @@
     return used;
 }
 
-// Checks a line once its end has arrived.
+// Checks a line once its end has arrived. The line ends of a part of it are checked at once, because the sender of a CR
+// without LF may wait for an answer.
 void HttpParser::Private::readLine(std::string_view piece)
 {
     if (!piece.ends_with('\n')) {
+        const std::size_t checkedBytes = partialLine.empty() ? 0 : partialLine.size() - 1;
         partialLine += piece;
+        if (!checkLineEnds(std::string_view(partialLine).substr(checkedBytes))) {
+            fail(lastError().message);
+        }
         return;
     }
     const auto line = lines.read(partialLine.empty() ? piece : partialLine.append(piece));
--- a/net/messagelines.cpp
+++ b/net/messagelines.cpp
@@ -107,6 +107,16 @@
     return text;
 }
 
+bool checkLineEnds(std::string_view text)
+{
+    const auto position = text.find('\r');
+    if (position == std::string_view::npos || position + 1 == text.size() || text[position + 1] == '\n') {
+        return true;
+    }
+    fail(proto::ERROR_INVALID, "a CR is not followed by LF");
+    return false;
+}
+
 MessageLines::MessageLines(Kind kind)
     : m_kind(kind)
 {
@@ -114,6 +124,9 @@
 
 std::optional<MessageLine> MessageLines::read(std::string_view line)
 {
+    if (!checkLineEnds(line)) {
+        return std::nullopt;
+    }
     const std::string_view text = withoutLineEnd(line);
     return m_started ? readSectionLine(text) : readStartLine(text);
 }
--- a/net/messagelines.h
+++ b/net/messagelines.h
@@ -17,6 +17,10 @@
 // The text without the blanks and tabs around it.
 std::string_view trimmed(std::string_view text);
 
+// Checks that no CR in a line, or in a part of it, is followed by another character than LF, because some readers take
+// it for a line end; false with lastError().
+bool checkLineEnds(std::string_view text);
+
 // An empty line before the start line, which means nothing.
 struct EmptyLine
 {
--- a/tests/response_cases.cpp
+++ b/tests/response_cases.cpp
@@ -100,6 +100,15 @@
     }
 }
 
+void addBrokenLineEnds(std::vector<ResponseCase> &cases)
+{
+    cases.push_back({"CR in the reason", response("HTTP/1.1 200 O\rK")});
+    cases.push_back({"CR and a field in the reason", response("HTTP/1.1 200 OK\rXX: y")});
+    cases.push_back({"two CR at the end of the status line", response("HTTP/1.1 200 OK\r")});
+    cases.push_back({"CR and another byte in place of the empty line", framed("Content-Length: 4\r\n\rX", "body")});
+    cases.push_back({"two CR in the empty line", framed("Content-Length: 4\r\n\r", "body")});
+}
+
 } // namespace
 
 std::vector<ResponseCase> soundResponses()
@@ -137,6 +146,7 @@
     addBrokenStatuses(cases);
     addBrokenNames(cases);
     addBrokenValues(cases);
+    addBrokenLineEnds(cases);
     return cases;
 }
 
