--- a/net/messagelines.cpp
+++ b/net/messagelines.cpp
@@ -61,12 +61,25 @@
     return status;
 }
 
-// Status of "HTTP/1.1 STATUS REASON"; nullopt with lastError() when it is not valid.
+// Whether the word is "HTTP/1." and a digit.
+bool isSupportedVersion(std::string_view word)
+{
+    constexpr std::string_view prefix = "HTTP/1.";
+    return word.size() == prefix.size() + 1 && word.starts_with(prefix) && isDigit(word.back());
+}
+
+// Status of "HTTP/1.1 STATUS REASON"; nullopt with lastError() when the line is not valid.
 std::optional<int> parseStatusLine(std::string_view line)
 {
-    takeWord(line);
+    if (!isSupportedVersion(takeWord(line))) {
+        return fail(proto::ERROR_INVALID, "the status line does not begin with HTTP/1.x");
+    }
     skipBlanks(line);
-    return parseStatus(takeWord(line));
+    const auto status = parseStatus(takeWord(line));
+    if (status && !isFieldText(line)) {
+        return fail(proto::ERROR_INVALID, "the status line holds a control character");
+    }
+    return status;
 }
 
 // Name and value of "NAME: VALUE"; nullopt with lastError() when the name is not valid. A blank before the colon makes
@@ -96,6 +109,14 @@
     });
 }
 
+bool isFieldText(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(), [](char character) {
+        const auto code = static_cast<unsigned char>(character);
+        return (code < 0x20 && character != '\t') || code == 0x7f;
+    });
+}
+
 std::string_view trimmed(std::string_view text)
 {
     while (!text.empty() && isBlank(text.front())) {
--- a/net/messagelines.h
+++ b/net/messagelines.h
@@ -14,6 +14,9 @@
 // Whether the text is a token, as the name of a field has to be.
 bool isToken(std::string_view text);
 
+// Whether the text holds no control characters but tabs, as the value of a field and the reason of a status have to.
+bool isFieldText(std::string_view text);
+
 // The text without the blanks and tabs around it.
 std::string_view trimmed(std::string_view text);
 
--- a/tests/response_cases.cpp
+++ b/tests/response_cases.cpp
@@ -109,6 +109,21 @@
     cases.push_back({"two CR in the empty line", framed("Content-Length: 4\r\n\r", "body")});
 }
 
+void addBrokenStatusLines(std::vector<ResponseCase> &cases)
+{
+    const std::vector<std::pair<std::string, std::string>> statusLines{
+        {"other major version", "HTTP/2.0 200 OK"},          {"version before 1.0", "HTTP/0.9 200 OK"},
+        {"version without a minor number", "HTTP/1 200 OK"}, {"version with a longer minor number", "HTTP/1.10 200 OK"},
+        {"version in lower case", "http/1.1 200 OK"},        {"other protocol", "ICY 200 OK"},
+        {"tab before the status", "HTTP/1.1\t200 OK"},       {"tab after the status", "HTTP/1.1 200\tOK"},
+        {"NUL in the reason", "HTTP/1.1 200 O\0K"s},         {"control byte in the reason", "HTTP/1.1 200 O\x01K"},
+        {"DEL in the reason", "HTTP/1.1 200 O\x7fK"},
+    };
+    for (const auto &[name, line] : statusLines) {
+        cases.push_back({name, response(line)});
+    }
+}
+
 } // namespace
 
 std::vector<ResponseCase> soundResponses()
@@ -147,6 +162,7 @@
     addBrokenNames(cases);
     addBrokenValues(cases);
     addBrokenLineEnds(cases);
+    addBrokenStatusLines(cases);
     return cases;
 }
 
