--- a/net/http.cpp
+++ b/net/http.cpp
@@ -56,6 +56,26 @@
     return result;
 }
 
+// Whether the message has no transfer coding, or is chunked once and has no other coding. `readAsChunked`: the library
+// decodes chunks, as it does not for each way to write the list.
+bool hasSupportedCoding(const HttpHeaders &headers, bool readAsChunked)
+{
+    bool hasCoding = false;
+    unsigned chunkedCount = 0;
+    unsigned otherCount = 0;
+    for (const auto &[name, value] : headers) {
+        if (headerNamesEqual(name, "Transfer-Encoding")) {
+            hasCoding = true;
+            forEachElement(value, [&](std::string_view coding) {
+                if (!coding.empty()) {
+                    ++(headerNamesEqual(coding, "chunked") ? chunkedCount : otherCount);
+                }
+            });
+        }
+    }
+    return !hasCoding || (readAsChunked && chunkedCount == 1 && otherCount == 0);
+}
+
 } // namespace
 
 bool headerNamesEqual(std::string_view a, std::string_view b)
@@ -164,10 +184,11 @@
     void readLine(std::string_view piece);
     std::size_t execute(std::string_view bytes);
 
+    // The first reason counts, as the library reports any failure of a callback by another one.
     void fail(const std::string &reason)
     {
+        error = failed ? error : reason;
         failed = true;
-        error = reason;
     }
 
     Kind kind;
@@ -223,8 +244,12 @@
     static int onHead(http_parser *parser)
     {
         auto &self = of(parser);
-        self.headComplete = true;
         HttpHead &head = self.head;
+        if (!hasSupportedCoding(head.headers, (parser->flags & F_CHUNKED) != 0)) {
+            self.fail("the transfer coding is not chunked alone");
+            return -1;
+        }
+        self.headComplete = true;
         head.keepAlive = http_should_keep_alive(parser) != 0;
         head.chunked = (parser->flags & F_CHUNKED) != 0;
         if ((parser->flags & F_CONTENTLENGTH) != 0) {
--- a/tests/response_cases.cpp
+++ b/tests/response_cases.cpp
@@ -124,6 +124,34 @@
     }
 }
 
+void addBrokenLengths(std::vector<ResponseCase> &cases)
+{
+    for (const char *length :
+         {"", "+4", "-4", "4x", "0x4", "4 4", "4;", "4.0", "18446744073709551616", "99999999999999999999999"}) {
+        cases.push_back({"length '"s + length + "'", framed("Content-Length: "s + length + "\r\n", "body")});
+    }
+    cases.push_back({"two lengths", framed("Content-Length: 4\r\nContent-Length: 2\r\n", "body")});
+    cases.push_back(
+        {"length and coding", framed("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n")});
+    cases.push_back(
+        {"coding and length", framed("Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", "4\r\nbody\r\n0\r\n\r\n")});
+}
+
+void addBrokenCodings(std::vector<ResponseCase> &cases)
+{
+    for (const char *coding : {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked;q=1", "identity",
+                               "xchunked", "chunkedx", "chunked x", "\"chunked\"", ""}) {
+        cases.push_back(
+            {"coding '"s + coding + "'", framed("Transfer-Encoding: "s + coding + "\r\n", "4\r\nbody\r\n0\r\n\r\n")});
+    }
+    for (const char *second : {"chunked", "gzip", "identity"}) {
+        cases.push_back({"codings chunked and "s + second,
+                         framed(chunkedFields + "Transfer-Encoding: " + second + "\r\n", "4\r\nbody\r\n0\r\n\r\n")});
+        cases.push_back({"codings "s + second + " and chunked",
+                         framed("Transfer-Encoding: "s + second + "\r\n" + chunkedFields, "4\r\nbody\r\n0\r\n\r\n")});
+    }
+}
+
 } // namespace
 
 std::vector<ResponseCase> soundResponses()
@@ -163,6 +191,8 @@
     addBrokenValues(cases);
     addBrokenLineEnds(cases);
     addBrokenStatusLines(cases);
+    addBrokenLengths(cases);
+    addBrokenCodings(cases);
     return cases;
 }
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -994,6 +994,20 @@
     CHECK(receivedRequestCount(fixture) == 0);
 }
 
+// Guards against a request whose body is decoded in part, and forwarded without the coding that it still has.
+TEST_CASE("a request with another transfer coding than chunked is refused and not forwarded")
+{
+    const std::string coding = GENERATE("gzip, chunked", "chunked, chunked", "chunked\r\nTransfer-Encoding: chunked",
+                                        "gzip\r\nTransfer-Encoding: chunked");
+    GatewayFixture fixture(1);
+    const std::string head = GatewayFixture::request("unsafe", "a", "Transfer-Encoding: " + coding + "\r\n");
+    const auto socket = fixture.connect();
+    asio::write(*socket, asio::buffer("POST" + head.substr(3) + "1\r\nx\r\n0\r\n\r\n"));
+    CHECK(fixture.receiveResponse(*socket).status() == 400);
+    fixture.runFor(milliseconds(20));
+    CHECK(fixture.servers[0].received.empty());
+}
+
 // Guards against a request that shows its server two lengths, or a customer beside the one whose key it carries.
 TEST_CASE("a request with a blank in the name of a header is refused and not forwarded")
 {
