Check the framing of messages in a module of its own

No change of behaviour. One type names requests and responses.

test_http, test_gateway_responses, test_gateway and test_server pass.

--- /dev/null
+++ b/net/framingcheck.h
@@ -0,0 +1,40 @@
+// Checks the framing of an HTTP/1.1 message before a parser reads it.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/messagelines.h"
+
+namespace banyanledge
+{
+
+// Checks one message whose bytes arrive in pieces. A message has parts: its head, and its body.
+class FramingCheck
+{
+public:
+    explicit FramingCheck(MessageKind kind);
+
+    // Checks bytes up to the end of the present part and returns how many; nullopt with lastError() if they are not
+    // valid.
+    std::optional<std::size_t> take(std::string_view bytes);
+
+    // Whether the empty line after the head was taken.
+    bool headEnded() const;
+
+    // Memory that is in use between calls.
+    std::size_t memoryBytes() const;
+
+private:
+    enum class Part { Head, Body };
+
+    std::optional<std::size_t> takeLine(std::string_view bytes);
+    bool checkLine(std::string_view line);
+
+    Part m_part = Part::Head;
+    MessageLines m_lines;
+    std::string m_partialLine; // start of a line whose end has not arrived
+};
+
+} // namespace banyanledge
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -7,7 +7,7 @@
 #include <cctype>
 
 #include "base/error.h"
-#include "net/messagelines.h"
+#include "net/framingcheck.h"
 
 namespace banyanledge
 {
@@ -175,13 +175,13 @@
 {
     explicit Private(Kind kind)
         : kind(kind)
+        , framing(kind)
     {
         http_parser_init(&parser, kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
         parser.data = this;
     }
 
-    std::size_t readHead(std::string_view bytes);
-    void readLine(std::string_view piece);
+    std::size_t readPart(std::string_view bytes);
     std::size_t execute(std::string_view bytes);
 
     // The first reason counts, as the library reports any failure of a callback by another one.
@@ -193,11 +193,9 @@
 
     Kind kind;
     http_parser parser{};
-    MessageLines lines{kind == Kind::Request ? MessageLines::Kind::Request : MessageLines::Kind::Response};
-    std::string partialLine; // start of a line whose end has not arrived
+    FramingCheck framing;
     HttpHead head;
     std::string body;
-    bool headEnded = false; // the empty line after the head has been read
     bool headComplete = false;
     bool complete = false;
     bool failed = false;
@@ -288,43 +286,18 @@
     }
 };
 
-// Takes the bytes that belong to the head and returns how many these are. The library reads a line only after it was
+// Reads bytes up to the end of a part of the message and returns how many. The library reads them only after they were
 // checked, because it accepts more than the standard allows.
-std::size_t HttpParser::Private::readHead(std::string_view bytes)
+std::size_t HttpParser::Private::readPart(std::string_view bytes)
 {
-    std::size_t used = 0;
-    while (used < bytes.size() && !headEnded && !failed) {
-        const std::string_view rest = bytes.substr(used);
-        const std::string_view piece = rest.substr(0, std::min(rest.find('\n'), rest.size() - 1) + 1);
-        used += piece.size();
-        readLine(piece);
-    }
-    headBytes += used;
-    if (!failed) {
-        execute(bytes.substr(0, used));
-    }
-    return used;
-}
-
-// Checks a line once its end has arrived. The line ends of a part of it are checked at once, because the sender of a CR
-// without LF may wait for an answer.
-void HttpParser::Private::readLine(std::string_view piece)
-{
-    if (!piece.ends_with('\n')) {
-        const std::size_t checkedBytes = partialLine.empty() ? 0 : partialLine.size() - 1;
-        partialLine += piece;
-        if (!checkLineEnds(std::string_view(partialLine).substr(checkedBytes))) {
-            fail(lastError().message);
-        }
-        return;
-    }
-    const auto line = lines.read(partialLine.empty() ? piece : partialLine.append(piece));
-    partialLine = {};
-    if (!line) {
+    const bool inHead = !headComplete;
+    const auto checkedBytes = framing.take(bytes);
+    if (!checkedBytes) {
         fail(lastError().message);
-        return;
+        return 0;
     }
-    headEnded = std::holds_alternative<SectionEnd>(*line);
+    headBytes += inHead ? *checkedBytes : 0;
+    return execute(bytes.substr(0, *checkedBytes));
 }
 
 // Passes bytes to the library and returns how many belong to the message.
@@ -349,7 +322,7 @@
         fail(http_errno_description(code));
         return used;
     }
-    if (headComplete != headEnded) {
+    if (headComplete != framing.headEnded()) {
         fail("the end of the head is ambiguous");
     }
     return used;
@@ -368,8 +341,7 @@
 {
     std::size_t used = 0;
     while (used < bytes.size() && !d->complete && !d->failed) {
-        const std::string_view rest = bytes.substr(used);
-        used += d->headEnded ? d->execute(rest) : d->readHead(rest);
+        used += d->readPart(bytes.substr(used));
     }
     return used;
 }
@@ -413,7 +385,7 @@
 
 std::size_t HttpParser::headMemoryBytes() const
 {
-    return memoryBytes(d->head.headers) + d->partialLine.capacity();
+    return memoryBytes(d->head.headers) + d->framing.memoryBytes();
 }
 
 const HttpHead &HttpParser::head() const
--- a/net/http.h
+++ b/net/http.h
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "net/messagelines.h"
+
 namespace banyanledge
 {
 
@@ -55,7 +57,7 @@
 class HttpParser
 {
 public:
-    enum class Kind { Request, Response };
+    using Kind = MessageKind;
 
     explicit HttpParser(Kind kind);
     ~HttpParser();
--- a/net/messagelines.cpp
+++ b/net/messagelines.cpp
@@ -138,7 +138,7 @@
     return false;
 }
 
-MessageLines::MessageLines(Kind kind)
+MessageLines::MessageLines(MessageKind kind)
     : m_kind(kind)
 {
 }
@@ -158,7 +158,7 @@
         return EmptyLine();
     }
     m_started = true;
-    if (m_kind == Kind::Request) {
+    if (m_kind == MessageKind::Request) {
         return StartLine();
     }
     const auto status = parseStatusLine(line);
--- a/net/messagelines.h
+++ b/net/messagelines.h
@@ -8,6 +8,8 @@
 namespace banyanledge
 {
 
+enum class MessageKind { Request, Response };
+
 // Whether a response may have this status.
 bool isValidStatus(int status);
 
@@ -59,9 +61,7 @@
 class MessageLines
 {
 public:
-    enum class Kind { Request, Response };
-
-    explicit MessageLines(Kind kind);
+    explicit MessageLines(MessageKind kind);
 
     // Reads a line with its line end. nullopt with lastError() if it is not allowed at this place; the rest of the
     // message can't be read then.
@@ -71,7 +71,7 @@
     std::optional<MessageLine> readStartLine(std::string_view line);
     std::optional<MessageLine> readSectionLine(std::string_view line);
 
-    Kind m_kind;
+    MessageKind m_kind;
     bool m_started = false; // the start line has been read
     bool m_hasField = false; // a field of the present section has been read
 };
