--- a/net/framingcheck.cpp
+++ b/net/framingcheck.cpp
@@ -2,9 +2,22 @@
 
 #include <algorithm>
 
+#include "base/error.h"
+
 namespace banyanledge
 {
 
+namespace
+{
+
+bool failChunkEnd()
+{
+    fail(proto::ERROR_INVALID, "no line end follows the data of a chunk");
+    return false;
+}
+
+} // namespace
+
 FramingCheck::FramingCheck(MessageKind kind)
     : m_lines(kind)
 {
@@ -15,6 +28,9 @@
     if (m_part == Part::Body) {
         return bytes.size();
     }
+    if (m_part == Part::ChunkData) {
+        return takeData(bytes);
+    }
     const Part part = m_part;
     std::size_t taken = 0;
     while (taken < bytes.size() && m_part == part) {
@@ -27,29 +43,55 @@
     return taken;
 }
 
-// Takes bytes up to the end of a line. The line ends of a part of a line are checked at once, because the sender of a
-// CR without LF may wait for an answer.
+std::size_t FramingCheck::takeData(std::string_view bytes)
+{
+    const std::size_t taken = std::min<std::uint64_t>(m_chunkBytes, bytes.size());
+    m_chunkBytes -= taken;
+    m_part = m_chunkBytes == 0 ? Part::ChunkEnd : Part::ChunkData;
+    return taken;
+}
+
+// Takes bytes up to the end of a line.
 std::optional<std::size_t> FramingCheck::takeLine(std::string_view bytes)
 {
-    const auto lineEnd = bytes.find('\n');
-    if (lineEnd == std::string_view::npos) {
-        const std::size_t checkedBytes = m_partialLine.empty() ? 0 : m_partialLine.size() - 1;
+    const auto position = bytes.find('\n');
+    if (position == std::string_view::npos) {
+        const std::size_t checkedBytes = m_partialLine.size();
         m_partialLine += bytes;
-        return checkLineEnds(std::string_view(m_partialLine).substr(checkedBytes)) ? std::optional(bytes.size())
-                                                                                   : std::nullopt;
+        return checkPartialLine(checkedBytes) ? std::optional(bytes.size()) : std::nullopt;
     }
-    const std::string_view piece = bytes.substr(0, lineEnd + 1);
+    const std::string_view piece = bytes.substr(0, position + 1);
     const bool isValid = checkLine(m_partialLine.empty() ? piece : m_partialLine.append(piece));
     m_partialLine = {};
     return isValid ? std::optional(piece.size()) : std::nullopt;
 }
 
+// Checks what has arrived of a line, because a sender that does not end it as it should may wait for an answer; false
+// with lastError().
+bool FramingCheck::checkPartialLine(std::size_t checkedBytes) const
+{
+    if (m_part == Part::ChunkEnd) {
+        return lineEnd.starts_with(m_partialLine) || failChunkEnd();
+    }
+    return checkLineEnds(std::string_view(m_partialLine).substr(checkedBytes > 0 ? checkedBytes - 1 : 0));
+}
+
 // Checks a whole line and goes on to the next part if it ends the present one; false with lastError().
 bool FramingCheck::checkLine(std::string_view line)
 {
+    if (m_part == Part::ChunkSize) {
+        const auto size = parseChunkSize(line);
+        m_chunkBytes = size.value_or(0);
+        m_part = m_chunkBytes == 0 ? Part::Trailers : Part::ChunkData;
+        return size.has_value();
+    }
+    if (m_part == Part::ChunkEnd) {
+        m_part = Part::ChunkSize;
+        return line == lineEnd || failChunkEnd();
+    }
     const auto read = m_lines.read(line);
     if (read && std::holds_alternative<SectionEnd>(*read)) {
-        m_part = Part::Body;
+        m_part = Part::Body; // also after the trailers, with which the message ends
     }
     return read.has_value();
 }
@@ -59,6 +101,11 @@
     return m_part != Part::Head;
 }
 
+void FramingCheck::setChunked()
+{
+    m_part = Part::ChunkSize;
+}
+
 std::size_t FramingCheck::memoryBytes() const
 {
     return m_partialLine.capacity();
--- a/net/framingcheck.h
+++ b/net/framingcheck.h
@@ -1,6 +1,7 @@
 // Checks the framing of an HTTP/1.1 message before a parser reads it.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,7 +11,8 @@
 namespace banyanledge
 {
 
-// Checks one message whose bytes arrive in pieces. A message has parts: its head, and its body.
+// Checks one message whose bytes arrive in pieces. A message has parts: its head, and either a body in one piece, or
+// chunks, of which each has three parts, and trailers.
 class FramingCheck
 {
 public:
@@ -23,18 +25,24 @@
     // Whether the empty line after the head was taken.
     bool headEnded() const;
 
+    // Declares that the body is chunked. Must be called before bytes after the head are taken.
+    void setChunked();
+
     // Memory that is in use between calls.
     std::size_t memoryBytes() const;
 
 private:
-    enum class Part { Head, Body };
+    enum class Part { Head, Body, ChunkSize, ChunkData, ChunkEnd, Trailers };
 
+    std::size_t takeData(std::string_view bytes);
     std::optional<std::size_t> takeLine(std::string_view bytes);
+    bool checkPartialLine(std::size_t checkedBytes) const;
     bool checkLine(std::string_view line);
 
     Part m_part = Part::Head;
     MessageLines m_lines;
     std::string m_partialLine; // start of a line whose end has not arrived
+    std::uint64_t m_chunkBytes = 0; // of the present chunk, not taken yet
 };
 
 } // namespace banyanledge
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -297,7 +297,11 @@
         return 0;
     }
     headBytes += inHead ? *checkedBytes : 0;
-    return execute(bytes.substr(0, *checkedBytes));
+    const std::size_t used = execute(bytes.substr(0, *checkedBytes));
+    if (inHead && headComplete && head.chunked) {
+        framing.setChunked();
+    }
+    return used;
 }
 
 // Passes bytes to the library and returns how many belong to the message.
--- a/net/messagelines.cpp
+++ b/net/messagelines.cpp
@@ -138,6 +138,22 @@
     return false;
 }
 
+std::optional<std::uint64_t> parseChunkSize(std::string_view line)
+{
+    constexpr int hexadecimal = 16;
+    std::uint64_t size = 0;
+    const auto [end, error] = std::from_chars(line.data(), line.data() + line.size(), size, hexadecimal);
+    if (error != std::errc() || !line.ends_with(lineEnd)) {
+        return fail(proto::ERROR_INVALID, "a line that has to be the size of a chunk is not valid");
+    }
+    line.remove_prefix(static_cast<std::size_t>(end - line.data()));
+    const std::string_view extensions = trimmed(withoutLineEnd(line));
+    if (!isFieldText(extensions) || (!extensions.empty() && extensions.front() != ';')) {
+        return fail(proto::ERROR_INVALID, "the extension of a chunk is not valid");
+    }
+    return size;
+}
+
 MessageLines::MessageLines(MessageKind kind)
     : m_kind(kind)
 {
--- a/net/messagelines.h
+++ b/net/messagelines.h
@@ -1,6 +1,7 @@
 // Rules of HTTP/1.1 (RFC 9110 and 9112) for the lines of a message, which all readers of messages share.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <variant>
@@ -8,6 +9,9 @@
 namespace banyanledge
 {
 
+// Ends each line. Readers accept lines of a head that end with LF alone.
+constexpr std::string_view lineEnd = "\r\n";
+
 enum class MessageKind { Request, Response };
 
 // Whether a response may have this status.
@@ -26,6 +30,10 @@
 // it for a line end; false with lastError().
 bool checkLineEnds(std::string_view text);
 
+// Number of bytes that the chunk after the line "SIZE" or "SIZE;EXTENSION" has; nullopt with lastError() if the line is
+// not valid.
+std::optional<std::uint64_t> parseChunkSize(std::string_view line);
+
 // An empty line before the start line, which means nothing.
 struct EmptyLine
 {
--- a/tests/response_cases.cpp
+++ b/tests/response_cases.cpp
@@ -196,4 +196,40 @@
     return cases;
 }
 
+std::vector<ResponseCase> brokenBodies()
+{
+    return {
+        {"chunk longer than its size", chunked("2\r\nbody\r\n0\r\n\r\n")},
+        {"other bytes in place of the line end of a chunk", chunked("4\r\nbodyXX0\r\n\r\n")},
+        {"LF and CR in place of the line end of a chunk", chunked("4\r\nbody\n\r0\r\n\r\n")},
+        {"another byte in place of the LF of a chunk", chunked("4\r\nbody\rX0\r\n\r\n")},
+        {"another byte in place of the CR of a chunk", chunked("4\r\nbodyX\n0\r\n\r\n")},
+        {"CR and another byte after a size", chunked("4\rXbody\r\n0\r\n\r\n")},
+        {"CR and another byte after the last size", chunked("4\r\nbody\r\n0\rX\r\n")},
+        {"size that is no number", chunked("x\r\nbody\r\n0\r\n\r\n")},
+        {"empty size", chunked("\r\nbody\r\n0\r\n\r\n")},
+        {"negative size", chunked("-4\r\nbody\r\n0\r\n\r\n")},
+        {"too large a size", chunked("10000000000000004\r\nbody\r\n0\r\n\r\n")},
+        {"blank in a trailer's name", chunked("4\r\nbody\r\n0\r\nX Y: z\r\n\r\n")},
+        {"blank before a trailer's colon", chunked("4\r\nbody\r\n0\r\nX : z\r\n\r\n")},
+        {"blank before the first trailer", chunked("4\r\nbody\r\n0\r\n X: z\r\n\r\n")},
+        {"control byte in a trailer's name", chunked("4\r\nbody\r\n0\r\nX\x01: z\r\n\r\n")},
+        {"trailer without a colon", chunked("4\r\nbody\r\n0\r\nX\r\n\r\n")},
+        {"control byte in a trailer's value", chunked("4\r\nbody\r\n0\r\nX: a\x01\r\n\r\n")},
+        {"CR in a trailer's value", chunked("4\r\nbody\r\n0\r\nX: a\rb\r\n\r\n")},
+        {"CR and another byte in place of the empty line after the trailers", chunked("4\r\nbody\r\n0\r\nX: y\r\n\rX")},
+        {"CR and another byte after the last chunk", chunked("4\r\nbody\r\n0\r\n\rX")},
+    };
+}
+
+std::vector<ResponseCase> brokenChunkExtensions()
+{
+    return {
+        {"LF in a chunk extension", chunked("4;a\nb\r\nbody\r\n0\r\n\r\n")},
+        {"control byte in a chunk extension", chunked("4;a\x01\r\nbody\r\n0\r\n\r\n")},
+        {"NUL in a chunk extension", chunked("4;a\0\r\nbody\r\n0\r\n\r\n"s)},
+        {"other text after a size", chunked("4 x\r\nbody\r\n0\r\n\r\n")},
+    };
+}
+
 } // namespace banyanledge
--- a/tests/response_cases.h
+++ b/tests/response_cases.h
@@ -22,4 +22,10 @@
 // Responses whose head is broken. No part of them may reach a client.
 std::vector<ResponseCase> brokenHeads();
 
+// Responses with a sound head whose chunks or trailers are broken. They may not look complete to a client.
+std::vector<ResponseCase> brokenBodies();
+
+// The same for chunk extensions, which libcurl skips without a check.
+std::vector<ResponseCase> brokenChunkExtensions();
+
 } // namespace banyanledge
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -1008,6 +1008,20 @@
     CHECK(fixture.servers[0].received.empty());
 }
 
+// Guards against a request whose body is another one than its client meant, or holds the next request.
+TEST_CASE("a request with broken chunks or trailers is refused and not forwarded")
+{
+    const std::string body = GENERATE("1\r\nxXX0\r\n\r\n", "1\rXx\r\n0\r\n\r\n", "1;a\nb\r\nx\r\n0\r\n\r\n",
+                                      "1\r\nx\r\n0\r\nX Y: z\r\n\r\n", "1\r\nx\r\n0\r\n\rX");
+    GatewayFixture fixture(1);
+    const std::string head = GatewayFixture::request("unsafe", "a", "Transfer-Encoding: chunked\r\n");
+    const auto socket = fixture.connect();
+    asio::write(*socket, asio::buffer("POST" + head.substr(3) + body));
+    CHECK(fixture.receiveResponse(*socket).status() == 400);
+    fixture.runFor(milliseconds(20));
+    CHECK(fixture.servers[0].received.empty());
+}
+
 // Guards against a request that shows its server two lengths, or a customer beside the one whose key it carries.
 TEST_CASE("a request with a blank in the name of a header is refused and not forwarded")
 {
--- a/tests/test_gateway_responses.cpp
+++ b/tests/test_gateway_responses.cpp
@@ -16,6 +16,15 @@
 // go to other servers.
 constexpr std::size_t maxFailuresBeforeEjection = 4;
 
+std::vector<ResponseCase> brokenResponses()
+{
+    std::vector<ResponseCase> cases = brokenHeads();
+    for (const auto &more : {brokenBodies(), brokenChunkExtensions()}) {
+        cases.insert(cases.end(), more.begin(), more.end());
+    }
+    return cases;
+}
+
 void respondAlways(ScriptedServer &server, const std::string &bytes)
 {
     server.onRequest = [bytes](const Connection &connection, const ReceivedRequest &) { connection->write(bytes); };
@@ -45,7 +54,7 @@
 TEST_CASE("a broken response is not passed on, and its connection is not used again")
 {
     const std::string kind = GENERATE("safe", "unsafe", "download");
-    for (const ResponseCase &broken : brokenHeads()) {
+    for (const ResponseCase &broken : brokenResponses()) {
         CAPTURE(kind, broken.name);
         GatewayFixture fixture(1);
         respondAlways(fixture.servers[0], broken.bytes);
@@ -69,7 +78,7 @@
 // Guards against a server that sends only broken responses and counts as healthy.
 TEST_CASE("broken responses count as failures of their server")
 {
-    for (const ResponseCase &broken : brokenHeads()) {
+    for (const ResponseCase &broken : brokenResponses()) {
         CAPTURE(broken.name);
         GatewayFixture fixture(2);
         respondAlways(fixture.servers[0], broken.bytes);
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -98,12 +98,14 @@
         CHECK(parser.head().status == sound.status);
         CHECK(parser.takeBody() == sound.body);
     }
-    for (const ResponseCase &broken : brokenHeads()) {
-        CAPTURE(step, broken.name);
-        std::size_t used = 0;
-        const HttpParser parser = parseResponse(broken.bytes, step, used);
-        CHECK(parser.failed());
-        CHECK_FALSE(parser.errorMessage().empty());
+    for (const auto &cases : {brokenHeads(), brokenBodies(), brokenChunkExtensions()}) {
+        for (const ResponseCase &broken : cases) {
+            CAPTURE(step, broken.name);
+            std::size_t used = 0;
+            const HttpParser parser = parseResponse(broken.bytes, step, used);
+            CHECK(parser.failed());
+            CHECK_FALSE(parser.errorMessage().empty());
+        }
     }
 }
 
