Read a 304 that states the length of the body it leaves out

What callers saw: nothing is known of users. A server may state in a 304 the length or the coding that the body of a 200 would have. The gateway waited for this body until the time of the request was over, and answered 504.

Cause: HttpParser told http_parser that a response has no body for answers to HEAD only, and the library reads a body whenever a length or chunks are stated.

Change: 1xx, 204 and 304 end with their head, by one function that the writer of responses uses too.

--- a/net/connection.cpp
+++ b/net/connection.cpp
@@ -84,7 +84,7 @@
     for (const auto &[name, value] : headers) {
         appendHeader(head, name, value);
     }
-    const bool bodyless = status / 100 == 1 || status == 204 || status == 304;
+    const bool bodyless = isBodylessStatus(status);
     m_noBody = bodyless || m_request.head.method == "HEAD";
     if (length && !bodyless) {
         appendHeader(head, "Content-Length", std::to_string(*length));
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -200,7 +200,7 @@
     bool complete = false;
     bool failed = false;
     std::string error; // reason when `failed` is set
-    bool noBody = false; // set by expectNoBody()
+    bool noBody = false; // the message ends with its head
     bool valueStarted = false; // the last header has received bytes of its value
     std::size_t headBytes = 0;
 
@@ -257,17 +257,10 @@
             head.method = http_method_str(static_cast<http_method>(parser->method));
         } else {
             head.status = static_cast<int>(parser->status_code);
-            head.bodyUntilClose = !self.noBody && endsWithConnection(parser);
+            self.noBody = self.noBody || isBodylessStatus(head.status);
+            head.bodyUntilClose = !self.noBody && (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
         }
-        return self.noBody ? 1 : 0;
-    }
-
-    // Whether only the end of the connection tells the end of the body; the library keeps its own test private.
-    static bool endsWithConnection(const http_parser *parser)
-    {
-        const bool bodyless =
-            parser->status_code / 100 == 1 || parser->status_code == 204 || parser->status_code == 304;
-        return !bodyless && (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+        return self.noBody ? 1 : 0; // for 1 the library reads no body
     }
 
     static int onBody(http_parser *parser, const char *data, std::size_t size)
--- a/net/messagelines.cpp
+++ b/net/messagelines.cpp
@@ -101,6 +101,11 @@
     return status >= 100 && status <= 599;
 }
 
+bool isBodylessStatus(int status)
+{
+    return status / 100 == 1 || status == 204 || status == 304;
+}
+
 bool isToken(std::string_view text)
 {
     constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
--- a/net/messagelines.h
+++ b/net/messagelines.h
@@ -17,6 +17,9 @@
 // Whether a response may have this status.
 bool isValidStatus(int status);
 
+// Whether a response of this status ends with its head, whatever the head says of a body.
+bool isBodylessStatus(int status);
+
 // Whether the text is a token, as the name of a field has to be.
 bool isToken(std::string_view text);
 
