--- a/entry/backend.cpp
+++ b/entry/backend.cpp
@@ -11,6 +11,9 @@
 #include <variant>
 #include <vector>
 
+#include "base/error.h"
+#include "net/messagelines.h"
+
 namespace banyanledge
 {
 
@@ -33,10 +36,11 @@
     BackendUpdate update; // collected since the last delivery
     bool queued = false; // is in the delivery queue
     std::vector<Transfer *> *deliveryQueue = nullptr; // owned by the worker thread
+    MessageLines lines{MessageKind::Response};
     BackendHead head;
     bool headComplete = false;
     bool chunked = false;
-    bool invalid = false; // the response is not valid HTTP/1.1
+    std::string invalidity; // why the response is not valid HTTP/1.1; empty while it is
     bool sent = false; // sending of the request has begun
     bool paused = false; // reading from the server is paused
     std::size_t unconsumedBytes = 0; // body bytes received but not consumed
@@ -73,42 +77,36 @@
     }
 }
 
-std::string_view trimmed(std::string_view text)
+void readLength(Transfer &transfer, std::string_view value)
 {
-    const auto first = text.find_first_not_of(" \t\r\n");
-    const auto last = text.find_last_not_of(" \t\r\n");
-    return first == std::string_view::npos ? std::string_view() : text.substr(first, last - first + 1);
+    std::uint64_t length = 0;
+    const char *last = value.data() + value.size();
+    const auto [end, error] = std::from_chars(value.data(), last, length);
+    if (error != std::errc() || end != last || transfer.head.length.value_or(length) != length) {
+        transfer.invalidity = "the length of the body is ambiguous";
+    }
+    transfer.head.length = length;
 }
 
-void parseStatusLine(Transfer &transfer, std::string_view line)
+void readCoding(Transfer &transfer, std::string_view value)
 {
-    transfer.head = {};
-    transfer.chunked = false;
-    const auto space = line.find(' ');
-    const std::string_view code = space == std::string_view::npos ? std::string_view() : line.substr(space + 1, 3);
-    const auto [end, error] = std::from_chars(code.data(), code.data() + code.size(), transfer.head.status);
-    transfer.invalid = error != std::errc() || transfer.head.status < 100 || transfer.head.status > 599;
+    if (transfer.chunked || !equalsIgnoreCase(value, "chunked")) {
+        transfer.invalidity = "the transfer coding is not chunked alone";
+    }
+    transfer.chunked = true;
 }
 
-void parseHeader(Transfer &transfer, std::string_view line)
+void readField(Transfer &transfer, const FieldLine &field)
 {
-    const auto colon = line.find(':');
-    if (colon == std::string_view::npos) {
-        transfer.invalid = true;
-        return;
+    if (transfer.headComplete) {
+        return; // trailers are ignored
     }
-    const Header header{std::string(trimmed(line.substr(0, colon))), std::string(trimmed(line.substr(colon + 1)))};
-    if (equalsIgnoreCase(header.name, "Content-Length")) {
-        std::uint64_t length = 0;
-        const char *last = header.value.data() + header.value.size();
-        const auto [end, error] = std::from_chars(header.value.data(), last, length);
-        transfer.invalid |= error != std::errc() || end != last || transfer.head.length.value_or(length) != length;
-        transfer.head.length = length;
-    } else if (equalsIgnoreCase(header.name, "Transfer-Encoding")) {
-        transfer.invalid |= transfer.chunked || !equalsIgnoreCase(header.value, "chunked");
-        transfer.chunked = true;
+    if (equalsIgnoreCase(field.name, "Content-Length")) {
+        readLength(transfer, field.value);
+    } else if (equalsIgnoreCase(field.name, "Transfer-Encoding")) {
+        readCoding(transfer, field.value);
     }
-    transfer.head.headers.push_back(header);
+    transfer.head.headers.push_back({std::string(field.name), std::string(field.value)});
 }
 
 // Completes the response head. Rejects a body delimited only by the end of the connection, because a truncated one
@@ -116,35 +114,44 @@
 void finishHead(Transfer &transfer)
 {
     if (transfer.head.status < 200) {
-        transfer.head = {}; // an interim response; the final one follows
+        transfer.lines = MessageLines(MessageKind::Response); // an interim response; the final one follows
         return;
     }
-    const bool bodyless =
-        transfer.head.status == 204 || transfer.head.status == 304 || transfer.request.method == "HEAD";
-    transfer.invalid |=
-        (transfer.chunked && transfer.head.length) || (!bodyless && !transfer.chunked && !transfer.head.length);
+    const bool bodyless = isBodylessStatus(transfer.head.status) || transfer.request.method == "HEAD";
+    if (transfer.chunked && transfer.head.length) {
+        transfer.invalidity = "the length of the body is ambiguous";
+    } else if (!bodyless && !transfer.chunked && !transfer.head.length) {
+        transfer.invalidity = "only the end of the connection would end the body";
+    }
     transfer.headComplete = true;
-    if (!transfer.invalid) {
+    if (transfer.invalidity.empty()) {
         transfer.update.head = transfer.head;
+        queueDelivery(transfer);
     }
 }
 
+void startHead(Transfer &transfer, const StartLine &line)
+{
+    transfer.head = {};
+    transfer.head.status = line.status;
+    transfer.chunked = false;
+}
+
+// Takes a line of the head, of interim responses before it or of the trailers.
 std::size_t onHeaderLine(char *data, std::size_t, std::size_t size, void *user)
 {
     auto &transfer = *static_cast<Transfer *>(user);
-    if (transfer.headComplete) {
-        return size; // trailers are ignored
-    }
-    const std::string_view line(data, size);
-    if (trimmed(line).empty()) {
-        finishHead(transfer);
-        queueDelivery(transfer);
-    } else if (line.starts_with("HTTP/")) {
-        parseStatusLine(transfer, line);
-    } else {
-        parseHeader(transfer, line);
+    const auto line = transfer.lines.read({data, size});
+    if (!line) {
+        transfer.invalidity = lastError().message;
+        return 0; // libcurl aborts the transfer and closes the connection
     }
-    return transfer.invalid ? 0 : size; // 0 makes libcurl abort the transfer
+    std::visit(Overloaded{[](EmptyLine) {}, [&](const StartLine &start) { startHead(transfer, start); },
+                          [&](const FieldLine &field) { readField(transfer, field); },
+                          [&](FieldContinuation) { transfer.invalidity = "a header is continued on a second line"; },
+                          [&](SectionEnd) { finishHead(transfer); }},
+               *line);
+    return transfer.invalidity.empty() ? size : 0;
 }
 
 std::size_t onBodyPart(char *data, std::size_t, std::size_t size, void *user)
@@ -370,7 +377,9 @@
                 transfer->update.end = TransferResult::Complete;
             } else {
                 transfer->update.end = transfer->sent ? TransferResult::Broken : TransferResult::NotSent;
-                transfer->update.error = transfer->invalid ? "invalid HTTP response" : curl_easy_strerror(code);
+                transfer->update.error = transfer->invalidity.empty()
+                    ? curl_easy_strerror(code)
+                    : "invalid HTTP response: " + transfer->invalidity;
             }
         }
     }
--- a/entry/dispatch.cpp
+++ b/entry/dispatch.cpp
@@ -10,6 +10,7 @@
 #include "base/metrics.h"
 #include "decide/pacing.h"
 #include "decide/route.h"
+#include "net/messagelines.h"
 
 namespace banyanledge
 {
@@ -208,7 +209,7 @@
     m_status = head.status;
     auto headers = headersForClient(head.headers);
     headers.push_back({serverHeader, m_slot->server});
-    const bool bodyless = head.status == 204 || head.status == 304 || m_request.method == "HEAD";
+    const bool bodyless = isBodylessStatus(head.status) || m_request.method == "HEAD";
     m_response.start(head.status, headers, head.length, bodyless);
     m_responseLength = head.length;
     return true;
@@ -228,6 +229,8 @@
         return;
     }
     const auto refusal = connectionFailureRefusal(update.error);
+    logInfo("attempt failed",
+            {{"request", m_requestId}, {"service", m_service}, {"server", m_slot->server}, {"reason", update.error}});
     m_failedServers.push_back(m_slot->server);
     stopAttempt(proto::OUTCOME_ERROR);
     if (m_status) {
--- a/entry/framing.cpp
+++ b/entry/framing.cpp
@@ -7,6 +7,8 @@
 #include <cctype>
 #include <cstring>
 
+#include "net/messagelines.h"
+
 namespace banyanledge
 {
 
@@ -61,14 +63,6 @@
         || folded.starts_with(systemHeaderPrefix);
 }
 
-bool isToken(std::string_view text)
-{
-    constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
-    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char letter) {
-        return std::isalnum(static_cast<unsigned char>(letter)) != 0 || symbols.find(letter) != std::string_view::npos;
-    });
-}
-
 bool isControl(char letter)
 {
     const auto code = static_cast<unsigned char>(letter);
@@ -250,9 +244,7 @@
 
     int endHeader()
     {
-        const bool badValue =
-            std::any_of(value.begin(), value.end(), [](char letter) { return isControl(letter) && letter != '\t'; });
-        if (!isToken(name) || badValue) {
+        if (!isToken(name) || !isFieldText(value)) {
             return refuse(FramingError::Malformed);
         }
         if (equalsIgnoreCase(name, "Content-Length")) {
--- a/net/messagelines.cpp
+++ b/net/messagelines.cpp
@@ -82,8 +82,13 @@
     return status;
 }
 
-// Name and value of "NAME: VALUE"; nullopt with lastError() when the name is not valid. A blank before the colon makes
-// it invalid, because other readers take the name without it.
+std::nullopt_t failValue()
+{
+    return fail(proto::ERROR_INVALID, "the value of a header holds a control character");
+}
+
+// Name and value of "NAME: VALUE"; nullopt with lastError() when they are not valid. A name with a blank
+// before its colon is not valid, because other readers would take it without the blank.
 std::optional<FieldLine> parseFieldLine(std::string_view line)
 {
     const auto colon = line.find(':');
@@ -91,7 +96,11 @@
     if (colon == std::string_view::npos || !isToken(name)) {
         return fail(proto::ERROR_INVALID, "the name of a header is not a token");
     }
-    return FieldLine{name, trimmed(line.substr(colon + 1))};
+    const std::string_view value = line.substr(colon + 1);
+    if (!isFieldText(value)) {
+        return failValue();
+    }
+    return FieldLine{name, trimmed(value)};
 }
 
 } // namespace
@@ -193,7 +202,7 @@
         return SectionEnd();
     }
     if (m_hasField && isBlank(line.front())) {
-        return FieldContinuation{trimmed(line)};
+        return isFieldText(line) ? std::optional<MessageLine>(FieldContinuation{trimmed(line)}) : failValue();
     }
     m_hasField = true;
     const auto field = parseFieldLine(line);
