One comparison of names without regard to case

No change of behaviour. net/ and entry/ had one each, under two names.

test_http, test_gateway, test_entry, test_framing, test_server, test_gateway_responses and test_entry_responses pass.

--- a/entry/framing.cpp
+++ b/entry/framing.cpp
@@ -7,8 +7,6 @@
 #include <cctype>
 #include <cstring>
 
-#include "net/messagelines.h"
-
 namespace banyanledge
 {
 
@@ -80,13 +78,6 @@
 
 } // namespace
 
-bool equalsIgnoreCase(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) {
-               return std::tolower(static_cast<unsigned char>(x)) == std::tolower(static_cast<unsigned char>(y));
-           });
-}
-
 const Header *findHeader(const Headers &headers, std::string_view name)
 {
     const auto found = std::find_if(headers.begin(), headers.end(),
--- a/entry/framing.h
+++ b/entry/framing.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "net/messagelines.h"
+
 namespace banyanledge
 {
 
@@ -34,9 +36,6 @@
 constexpr const char *shedHeader = "Banyanledge-Shed";
 constexpr const char *stateHeader = "Banyanledge-State";
 
-// Whether two header names are equal without regard to case.
-bool equalsIgnoreCase(std::string_view a, std::string_view b);
-
 // First header with this name, compared without regard to case; nullptr when absent.
 const Header *findHeader(const Headers &headers, std::string_view name);
 
--- a/gateway/attempt.cpp
+++ b/gateway/attempt.cpp
@@ -111,8 +111,8 @@
     const HeaderNames &names = m_state.options.headerNames;
     std::string bytes = request.head.method + " " + request.head.target + " HTTP/1.1\r\n";
     for (const auto &[name, value] : endToEndHeaders(request.head.headers)) {
-        const bool setByGateway = headerNamesEqual(name, "Authorization") || headerNamesEqual(name, names.customer)
-            || headerNamesEqual(name, names.expectedServer) || headerNamesEqual(name, names.timeLeftMs);
+        const bool setByGateway = equalsIgnoreCase(name, "Authorization") || equalsIgnoreCase(name, names.customer)
+            || equalsIgnoreCase(name, names.expectedServer) || equalsIgnoreCase(name, names.timeLeftMs);
         if (!setByGateway) {
             appendHeader(bytes, name, value);
         }
--- a/gateway/forward.cpp
+++ b/gateway/forward.cpp
@@ -223,7 +223,7 @@
     }
     const std::string value = headerValue(m_call->request().head.headers, "Authorization");
     const std::string &scheme = m_state.options.headerNames.authScheme;
-    if (value.size() > scheme.size() + 1 && headerNamesEqual(std::string_view(value).substr(0, scheme.size()), scheme)
+    if (value.size() > scheme.size() + 1 && equalsIgnoreCase(std::string_view(value).substr(0, scheme.size()), scheme)
         && value[scheme.size()] == ' ') {
         m_customer = m_routing->customer(sha256(std::string_view(value).substr(scheme.size() + 1)));
     }
--- a/gateway/notice.cpp
+++ b/gateway/notice.cpp
@@ -24,7 +24,7 @@
 {
     HeaderText result;
     for (const auto &[headerName, value] : headers) {
-        if (headerNamesEqual(headerName, name)) {
+        if (equalsIgnoreCase(headerName, name)) {
             result.ambiguous = result.ambiguous || (result.value && *result.value != value);
             result.value = value;
         }
--- a/net/connection.cpp
+++ b/net/connection.cpp
@@ -310,7 +310,7 @@
     if (!m_headHandled) {
         m_headHandled = true;
         const std::string *expect = findHeader(head.headers, "Expect");
-        m_continueExpected = expect != nullptr && headerNamesEqual(*expect, "100-continue");
+        m_continueExpected = expect != nullptr && equalsIgnoreCase(*expect, "100-continue");
         sendContinue();
     }
     m_request.body += m_parser.takeBody();
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -64,11 +64,11 @@
     unsigned chunkedCount = 0;
     unsigned otherCount = 0;
     for (const auto &[name, value] : headers) {
-        if (headerNamesEqual(name, "Transfer-Encoding")) {
+        if (equalsIgnoreCase(name, "Transfer-Encoding")) {
             hasCoding = true;
             forEachElement(value, [&](std::string_view coding) {
                 if (!coding.empty()) {
-                    ++(headerNamesEqual(coding, "chunked") ? chunkedCount : otherCount);
+                    ++(equalsIgnoreCase(coding, "chunked") ? chunkedCount : otherCount);
                 }
             });
         }
@@ -78,12 +78,6 @@
 
 } // namespace
 
-bool headerNamesEqual(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size()
-        && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
-}
-
 void appendHeader(std::string &text, std::string_view name, std::string_view value)
 {
     text.append(name).append(": ").append(value).append("\r\n");
@@ -92,7 +86,7 @@
 const std::string *findHeader(const HttpHeaders &headers, std::string_view name)
 {
     for (const auto &[key, value] : headers) {
-        if (headerNamesEqual(key, name)) {
+        if (equalsIgnoreCase(key, name)) {
             return &value;
         }
     }
@@ -115,13 +109,13 @@
                                                                             "Expect"};
     std::vector<std::string_view> connectionOptions;
     for (const auto &[name, value] : headers) {
-        if (headerNamesEqual(name, "Connection")) {
+        if (equalsIgnoreCase(name, "Connection")) {
             forEachElement(value,
                            [&connectionOptions](std::string_view element) { connectionOptions.push_back(element); });
         }
     }
     const auto dropped = [&connectionOptions](std::string_view name) {
-        const auto same = [name](std::string_view other) { return headerNamesEqual(name, other); };
+        const auto same = [name](std::string_view other) { return equalsIgnoreCase(name, other); };
         return std::any_of(neverForwardedHeaders.begin(), neverForwardedHeaders.end(), same)
             || std::any_of(connectionOptions.begin(), connectionOptions.end(), same);
     };
--- a/net/http.h
+++ b/net/http.h
@@ -22,9 +22,6 @@
 // Value of the first header of that name, compared without regard to case; nullptr when absent.
 const std::string *findHeader(const HttpHeaders &headers, std::string_view name);
 
-// Whether two header names are equal without regard to case.
-bool headerNamesEqual(std::string_view a, std::string_view b);
-
 // Head of a request or a response.
 struct HttpHead
 {
--- a/net/messagelines.cpp
+++ b/net/messagelines.cpp
@@ -21,6 +21,11 @@
     return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
 }
 
+char lower(char character)
+{
+    return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
+}
+
 bool isBlank(char character)
 {
     return character == ' ' || character == '\t';
@@ -115,6 +120,12 @@
     return status / 100 == 1 || status == 204 || status == 304;
 }
 
+bool equalsIgnoreCase(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size()
+        && std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
+}
+
 bool isToken(std::string_view text)
 {
     constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
--- a/net/messagelines.h
+++ b/net/messagelines.h
@@ -20,6 +20,9 @@
 // Whether a response of this status ends with its head, whatever the head says of a body.
 bool isBodylessStatus(int status);
 
+// Whether two texts, such as names of headers, are equal without regard to case.
+bool equalsIgnoreCase(std::string_view a, std::string_view b);
+
 // Whether the text is a token, as the name of a field has to be.
 bool isToken(std::string_view text);
 
