--- a/entry/backend.cpp
+++ b/entry/backend.cpp
@@ -39,7 +39,6 @@
     MessageLines lines{MessageKind::Response};
     BackendHead head;
     bool headComplete = false;
-    bool chunked = false;
     std::string invalidity; // why the response is not valid HTTP/1.1; empty while it is
     bool sent = false; // sending of the request has begun
     bool paused = false; // reading from the server is paused
@@ -77,36 +76,11 @@
     }
 }
 
-void readLength(Transfer &transfer, std::string_view value)
-{
-    std::uint64_t length = 0;
-    const char *last = value.data() + value.size();
-    const auto [end, error] = std::from_chars(value.data(), last, length);
-    if (error != std::errc() || end != last || transfer.head.length.value_or(length) != length) {
-        transfer.invalidity = "the length of the body is ambiguous";
-    }
-    transfer.head.length = length;
-}
-
-void readCoding(Transfer &transfer, std::string_view value)
-{
-    if (transfer.chunked || !equalsIgnoreCase(value, "chunked")) {
-        transfer.invalidity = "the transfer coding is not chunked alone";
-    }
-    transfer.chunked = true;
-}
-
 void readField(Transfer &transfer, const FieldLine &field)
 {
-    if (transfer.headComplete) {
-        return; // trailers are ignored
-    }
-    if (equalsIgnoreCase(field.name, "Content-Length")) {
-        readLength(transfer, field.value);
-    } else if (equalsIgnoreCase(field.name, "Transfer-Encoding")) {
-        readCoding(transfer, field.value);
+    if (!transfer.headComplete) { // trailers are ignored
+        transfer.head.headers.push_back({std::string(field.name), std::string(field.value)});
     }
-    transfer.head.headers.push_back({std::string(field.name), std::string(field.value)});
 }
 
 // Completes the response head. Rejects a body delimited only by the end of the connection, because a truncated one
@@ -114,27 +88,24 @@
 void finishHead(Transfer &transfer)
 {
     if (transfer.head.status < 200) {
-        transfer.lines = MessageLines(MessageKind::Response); // an interim response; the final one follows
-        return;
+        return; // an interim response; the final one follows
     }
     const bool bodyless = isBodylessStatus(transfer.head.status) || transfer.request.method == "HEAD";
-    if (transfer.chunked && transfer.head.length) {
-        transfer.invalidity = "the length of the body is ambiguous";
-    } else if (!bodyless && !transfer.chunked && !transfer.head.length) {
+    const BodyFraming &framing = transfer.lines.bodyFraming();
+    if (!bodyless && !framing.chunked && !framing.length) {
         transfer.invalidity = "only the end of the connection would end the body";
+        return;
     }
     transfer.headComplete = true;
-    if (transfer.invalidity.empty()) {
-        transfer.update.head = transfer.head;
-        queueDelivery(transfer);
-    }
+    transfer.head.length = framing.length;
+    transfer.update.head = transfer.head;
+    queueDelivery(transfer);
 }
 
 void startHead(Transfer &transfer, const StartLine &line)
 {
     transfer.head = {};
     transfer.head.status = line.status;
-    transfer.chunked = false;
 }
 
 // Takes a line of the head, of interim responses before it or of the trailers.
--- a/net/framingcheck.cpp
+++ b/net/framingcheck.cpp
@@ -91,7 +91,8 @@
     }
     const auto read = m_lines.read(line);
     if (read && std::holds_alternative<SectionEnd>(*read)) {
-        m_part = Part::Body; // also after the trailers, with which the message ends
+        const bool chunksFollow = m_part == Part::Head && isChunked();
+        m_part = chunksFollow ? Part::ChunkSize : Part::Body;
     }
     return read.has_value();
 }
@@ -101,9 +102,9 @@
     return m_part != Part::Head;
 }
 
-void FramingCheck::setChunked()
+bool FramingCheck::isChunked() const
 {
-    m_part = Part::ChunkSize;
+    return m_lines.bodyFraming().chunked;
 }
 
 std::size_t FramingCheck::memoryBytes() const
--- a/net/framingcheck.h
+++ b/net/framingcheck.h
@@ -25,8 +25,8 @@
     // Whether the empty line after the head was taken.
     bool headEnded() const;
 
-    // Declares that the body is chunked. Must be called before bytes after the head are taken.
-    void setChunked();
+    // Whether the head that was taken announces chunks.
+    bool isChunked() const;
 
     // Memory that is in use between calls.
     std::size_t memoryBytes() const;
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -56,26 +56,6 @@
     return result;
 }
 
-// Whether the message has no transfer coding, or is chunked once and has no other coding. `readAsChunked`: the library
-// decodes chunks, as it does not for each way to write the list.
-bool hasSupportedCoding(const HttpHeaders &headers, bool readAsChunked)
-{
-    bool hasCoding = false;
-    unsigned chunkedCount = 0;
-    unsigned otherCount = 0;
-    for (const auto &[name, value] : headers) {
-        if (equalsIgnoreCase(name, "Transfer-Encoding")) {
-            hasCoding = true;
-            forEachElement(value, [&](std::string_view coding) {
-                if (!coding.empty()) {
-                    ++(equalsIgnoreCase(coding, "chunked") ? chunkedCount : otherCount);
-                }
-            });
-        }
-    }
-    return !hasCoding || (readAsChunked && chunkedCount == 1 && otherCount == 0);
-}
-
 } // namespace
 
 void appendHeader(std::string &text, std::string_view name, std::string_view value)
@@ -237,13 +217,13 @@
     {
         auto &self = of(parser);
         HttpHead &head = self.head;
-        if (!hasSupportedCoding(head.headers, (parser->flags & F_CHUNKED) != 0)) {
-            self.fail("the transfer coding is not chunked alone");
+        head.chunked = (parser->flags & F_CHUNKED) != 0;
+        if (head.chunked != self.framing.isChunked()) {
+            self.fail("the transfer coding is ambiguous");
             return -1;
         }
         self.headComplete = true;
         head.keepAlive = http_should_keep_alive(parser) != 0;
-        head.chunked = (parser->flags & F_CHUNKED) != 0;
         if ((parser->flags & F_CONTENTLENGTH) != 0) {
             head.contentLength = parser->content_length;
         }
@@ -284,11 +264,7 @@
         return 0;
     }
     headBytes += inHead ? *checkedBytes : 0;
-    const std::size_t used = execute(bytes.substr(0, *checkedBytes));
-    if (inHead && headComplete && head.chunked) {
-        framing.setChunked();
-    }
-    return used;
+    return execute(bytes.substr(0, *checkedBytes));
 }
 
 // Passes bytes to the library and returns how many belong to the message.
--- a/net/messagelines.cpp
+++ b/net/messagelines.cpp
@@ -87,6 +87,20 @@
     return status;
 }
 
+// The number that the whole text is, in decimal digits.
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const char *last = text.data() + text.size();
+    const auto [end, error] = std::from_chars(text.data(), last, number);
+    return error == std::errc() && end == last ? std::optional(number) : std::nullopt;
+}
+
+std::nullopt_t failLength()
+{
+    return fail(proto::ERROR_INVALID, "the length of the body is ambiguous");
+}
+
 std::nullopt_t failValue()
 {
     return fail(proto::ERROR_INVALID, "the value of a header holds a control character");
@@ -184,13 +198,24 @@
 {
 }
 
+const BodyFraming &MessageLines::bodyFraming() const
+{
+    return m_bodyFraming;
+}
+
 std::optional<MessageLine> MessageLines::read(std::string_view line)
 {
     if (!checkLineEnds(line)) {
         return std::nullopt;
     }
     const std::string_view text = withoutLineEnd(line);
-    return m_started ? readSectionLine(text) : readStartLine(text);
+    if (m_section == Section::None) {
+        return readStartLine(text);
+    }
+    if (text.empty()) {
+        return readSectionEnd();
+    }
+    return m_hasField && isBlank(text.front()) ? readContinuation(text) : readField(text);
 }
 
 std::optional<MessageLine> MessageLines::readStartLine(std::string_view line)
@@ -198,26 +223,77 @@
     if (line.empty()) {
         return EmptyLine();
     }
-    m_started = true;
+    m_bodyFraming = {};
+    m_section = Section::Head;
     if (m_kind == MessageKind::Request) {
         return StartLine();
     }
     const auto status = parseStatusLine(line);
-    return status ? std::optional<MessageLine>(StartLine{*status}) : std::nullopt;
+    if (!status) {
+        return std::nullopt;
+    }
+    m_section = *status / 100 == 1 ? Section::InterimHead : Section::Head;
+    return StartLine{*status};
 }
 
-std::optional<MessageLine> MessageLines::readSectionLine(std::string_view line)
+std::optional<MessageLine> MessageLines::readSectionEnd()
 {
-    if (line.empty()) {
-        m_hasField = false;
-        return SectionEnd();
+    if (m_bodyFraming.length && m_bodyFraming.chunked) {
+        return failLength();
     }
-    if (m_hasField && isBlank(line.front())) {
-        return isFieldText(line) ? std::optional<MessageLine>(FieldContinuation{trimmed(line)}) : failValue();
+    m_hasField = false;
+    m_section = m_section == Section::InterimHead ? Section::None : Section::Trailers;
+    return SectionEnd();
+}
+
+std::optional<MessageLine> MessageLines::readContinuation(std::string_view line) const
+{
+    if (m_framesBody) {
+        return failLength();
     }
-    m_hasField = true;
+    return isFieldText(line) ? std::optional<MessageLine>(FieldContinuation{trimmed(line)}) : failValue();
+}
+
+std::optional<MessageLine> MessageLines::readField(std::string_view line)
+{
     const auto field = parseFieldLine(line);
-    return field ? std::optional<MessageLine>(*field) : std::nullopt;
+    m_hasField = true;
+    m_framesBody = false;
+    if (!field || (m_section != Section::Trailers && !readBodyFraming(*field))) {
+        return std::nullopt;
+    }
+    return *field;
+}
+
+// Takes what the field says of the length of the body; false with lastError() if this is not clear.
+bool MessageLines::readBodyFraming(const FieldLine &field)
+{
+    const bool isLength = equalsIgnoreCase(field.name, "Content-Length");
+    const bool isCoding = equalsIgnoreCase(field.name, "Transfer-Encoding");
+    m_framesBody = isLength || isCoding;
+    return isLength ? readLength(field.value) : !isCoding || readCoding(field.value);
+}
+
+bool MessageLines::readLength(std::string_view value)
+{
+    const auto length = parseNumber(value);
+    if (!length || m_bodyFraming.length.value_or(*length) != *length) {
+        failLength();
+        return false;
+    }
+    m_bodyFraming.length = length;
+    return true;
+}
+
+// Another coding than chunked, once, is not supported.
+bool MessageLines::readCoding(std::string_view value)
+{
+    if (m_bodyFraming.chunked || !equalsIgnoreCase(value, "chunked")) {
+        fail(proto::ERROR_INVALID, "the transfer coding is not chunked alone");
+        return false;
+    }
+    m_bodyFraming.chunked = true;
+    return true;
 }
 
 } // namespace banyanledge
--- a/net/messagelines.h
+++ b/net/messagelines.h
@@ -71,7 +71,14 @@
 
 using MessageLine = std::variant<EmptyLine, StartLine, FieldLine, FieldContinuation, SectionEnd>;
 
-// Reads the lines of one message head, then those of its trailers.
+// What a head says of the length of the body.
+struct BodyFraming
+{
+    std::optional<std::uint64_t> length; // in bytes
+    bool chunked = false;
+};
+
+// Reads the lines of one message: its head and its trailers, and before them the heads of interim responses.
 class MessageLines
 {
 public:
@@ -81,13 +88,25 @@
     // message can't be read then.
     std::optional<MessageLine> read(std::string_view line);
 
+    // As far as the present head has been read.
+    const BodyFraming &bodyFraming() const;
+
 private:
+    enum class Section { None, Head, InterimHead, Trailers };
+
     std::optional<MessageLine> readStartLine(std::string_view line);
-    std::optional<MessageLine> readSectionLine(std::string_view line);
+    std::optional<MessageLine> readSectionEnd();
+    std::optional<MessageLine> readContinuation(std::string_view line) const;
+    std::optional<MessageLine> readField(std::string_view line);
+    bool readBodyFraming(const FieldLine &field);
+    bool readLength(std::string_view value);
+    bool readCoding(std::string_view value);
 
     MessageKind m_kind;
-    bool m_started = false; // the start line has been read
+    Section m_section = Section::None;
+    BodyFraming m_bodyFraming;
     bool m_hasField = false; // a field of the present section has been read
+    bool m_framesBody = false; // the newest field tells the length of the body
 };
 
 } // namespace banyanledge
--- a/tests/response_cases.cpp
+++ b/tests/response_cases.cpp
@@ -130,6 +130,7 @@
          {"", "+4", "-4", "4x", "0x4", "4 4", "4;", "4.0", "18446744073709551616", "99999999999999999999999"}) {
         cases.push_back({"length '"s + length + "'", framed("Content-Length: "s + length + "\r\n", "body")});
     }
+    cases.push_back({"length on a second line", framed("Content-Length:\r\n 4\r\n", "body")});
     cases.push_back({"two lengths", framed("Content-Length: 4\r\nContent-Length: 2\r\n", "body")});
     cases.push_back(
         {"length and coding", framed("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n")});
@@ -144,6 +145,8 @@
         cases.push_back(
             {"coding '"s + coding + "'", framed("Transfer-Encoding: "s + coding + "\r\n", "4\r\nbody\r\n0\r\n\r\n")});
     }
+    cases.push_back(
+        {"codings on two lines", framed("Transfer-Encoding: chunked\r\n , gzip\r\n", "4\r\nbody\r\n0\r\n\r\n")});
     for (const char *second : {"chunked", "gzip", "identity"}) {
         cases.push_back({"codings chunked and "s + second,
                          framed(chunkedFields + "Transfer-Encoding: " + second + "\r\n", "4\r\nbody\r\n0\r\n\r\n")});
