--- a/apps/client.cpp
+++ b/apps/client.cpp
@@ -7,6 +7,8 @@
 #include <memory>
 #include <thread>
 
+#include "net/responsecheck.h"
+
 namespace banyanledge
 {
 
@@ -72,6 +74,9 @@
         curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
         curl_easy_setopt(curl.get(), CURLOPT_POSTFIELDS, body.c_str());
     }
+    ResponseCheck check;
+    curl_easy_setopt(curl.get(), CURLOPT_HEADERFUNCTION, ResponseCheck::readLine);
+    curl_easy_setopt(curl.get(), CURLOPT_HEADERDATA, &check);
     curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, appendBody);
     curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &reply.body);
     if (curl_easy_perform(curl.get()) == CURLE_OK) {
--- a/control/platform.cpp
+++ b/control/platform.cpp
@@ -12,6 +12,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/settings.h"
+#include "net/responsecheck.h"
 
 namespace banyanledge
 {
@@ -289,11 +290,17 @@
 std::optional<std::string> PlatformPoller::Private::fetch(const std::string &url)
 {
     std::string body;
+    ResponseCheck check;
     curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
     curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, pollTimeoutMs);
     curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(curl, CURLOPT_FAILONERROR, 1L);
+    // The check reads HTTP/1.1, and the responses of the platform only.
+    curl_easy_setopt(curl, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(curl, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+    curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, ResponseCheck::readLine);
+    curl_easy_setopt(curl, CURLOPT_HEADERDATA, &check);
     curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, appendBody);
     curl_easy_setopt(curl, CURLOPT_WRITEDATA, &body);
     const CURLcode code = curl_easy_perform(curl);
@@ -302,7 +309,7 @@
             proto::ERROR_IO,
             std::string(
                 "the request for the platform's list failed; check the platform and its address in the settings: ")
-                + curl_easy_strerror(code));
+                + (check.error().empty() ? curl_easy_strerror(code) : check.error()));
     }
     return body;
 }
--- a/fleet/healthprober.cpp
+++ b/fleet/healthprober.cpp
@@ -9,6 +9,9 @@
 #include <mutex>
 #include <thread>
 
+#include "base/log.h"
+#include "net/responsecheck.h"
+
 namespace banyanledge
 {
 
@@ -30,6 +33,7 @@
     ProbeTarget target;
     std::string body;
     Time started;
+    ResponseCheck check;
 };
 
 // Write callback of libcurl; returning 0 aborts the transfer.
@@ -92,9 +96,11 @@
                 continue;
             }
             CURL *easy = curl_easy_init();
-            auto probe = std::make_unique<Probe>(Probe{target, {}, Clock::now()});
+            auto probe = std::make_unique<Probe>(Probe{target, {}, Clock::now(), {}});
             const std::string url = "http://" + target.address + "/health";
             curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+            curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, ResponseCheck::readLine);
+            curl_easy_setopt(easy, CURLOPT_HEADERDATA, &probe->check);
             curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, appendBody);
             curl_easy_setopt(easy, CURLOPT_WRITEDATA, probe.get());
             curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(probeTimeout.count()));
@@ -121,6 +127,9 @@
             if (message->data.result == CURLE_OK && status >= 200 && status < 300) {
                 result = parseHealth(found->second->body);
             }
+            if (const std::string &reason = found->second->check.error(); !reason.empty()) {
+                logInfo("health check failed", {{"server", found->second->target.server}, {"reason", reason}});
+            }
             result.latency = Clock::now() - found->second->started;
             done(found->second->target, result);
             curl_multi_remove_handle(multi, easy);
--- a/gateway/processcheck.cpp
+++ b/gateway/processcheck.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/log.h"
 #include "base/timer.h"
 #include "gateway/text.h"
 
@@ -93,7 +94,10 @@
     };
     handlers.body = [](const std::string &) {};
     handlers.end = [weak = weak_from_this(), server = target.server, number = check.number](AttemptResult result,
-                                                                                            const std::string &) {
+                                                                                            const std::string &reason) {
+        if (result == AttemptResult::NoResponse) {
+            logInfo("health check failed", {{"server", server}, {"reason", reason}});
+        }
         if (const auto self = weak.lock()) {
             self->finish(server, number, result == AttemptResult::Refused);
         }
--- a/tests/entry.cmake
+++ b/tests/entry.cmake
@@ -3,6 +3,8 @@
 banyan_test(test_entry unit test_entry.cpp LINK banyan_entry_fixture)
 banyan_test(test_framing unit test_framing.cpp LINK banyan_entry_fixture)
 banyan_test(test_entry_responses unit test_entry_responses.cpp response_cases.cpp LINK banyan_entry_fixture)
+banyan_test(test_curl_responses unit test_curl_responses.cpp response_cases.cpp
+            LINK banyan_entry_fixture banyan_control banyan_apps)
 add_executable(bench_path bench_path.cpp)
 target_link_libraries(bench_path PRIVATE banyan_entry_fixture)
 banyan_test(test_follower unit test_follower.cpp relay.cpp LINK banyan_fleet)
--- a/tests/test_gateway_responses.cpp
+++ b/tests/test_gateway_responses.cpp
@@ -125,3 +125,35 @@
         CHECK(fixture.call(GatewayFixture::request("unsafe", "b", {}, "x")).status() == 200);
     }
 }
+
+// Guards against a server that is taken for cold, and reported as such, because of a broken answer to a health check.
+TEST_CASE("a broken answer to a health check is not believed")
+{
+    const std::string requestId = "Req-Id: a\r\n"; // health checks have none
+    for (const ResponseCase &broken : brokenHeads()) {
+        CAPTURE(broken.name);
+        std::string answer = broken.bytes;
+        answer.replace(answer.find(requestId), requestId.size(), "Warmup-Ms: 900\r\n");
+        GatewayFixture fixture;
+        fixture.declaration.mutable_services(0)->set_health_path("/health");
+        fixture.publishView();
+        Connection connected;
+        int checks = 0;
+        fixture.servers[0].onRequest = [&](const Connection &connection, const ReceivedRequest &request) {
+            if (request.head.target == "/health") {
+                ++checks;
+                connection->write(answer);
+                return;
+            }
+            connected = connection;
+            connection->respond(request, 200, "ok");
+        };
+        CHECK(fixture.call(GatewayFixture::request("safe", "first")).status() == 200);
+        connected->close(); // makes the gateway check the server
+        fixture.runUntil([&] { return checks == 1; });
+        fixture.runFor(milliseconds(20));
+        proto::SyncRequest report;
+        fixture.gateway->report(report);
+        CHECK(report.process_reports_size() == 0);
+    }
+}
