Comments of the response checks, and a test of lines that only HttpParser accepts

Found by reading the diff: a wrong comment, and readings that no test held: empty lines before a response, and a header on two lines.

--- a/net/http.cpp
+++ b/net/http.cpp
@@ -158,10 +158,11 @@
     std::size_t readPart(std::string_view bytes);
     std::size_t execute(std::string_view bytes);
 
-    // The first reason counts, as the library reports any failure of a callback by another one.
     void fail(const std::string &reason)
     {
-        error = failed ? error : reason;
+        if (!failed) { // the library reports the failure of a callback once more
+            error = reason;
+        }
         failed = true;
     }
 
--- a/net/http.h
+++ b/net/http.h
@@ -50,7 +50,8 @@
 // Standard reason phrase of a status code.
 const char *reasonPhrase(int status);
 
-// Parses one message at a time from bytes that arrive in pieces.
+// Parses one message at a time from bytes that arrive in pieces. A head that the rules of net/messagelines do not allow
+// never becomes complete, and a body fails at the first chunk or trailer that they do not allow.
 class HttpParser
 {
 public:
--- a/net/messagelines.cpp
+++ b/net/messagelines.cpp
@@ -31,7 +31,7 @@
     return character == ' ' || character == '\t';
 }
 
-// Text after the leading characters up to the next blank, which it takes off `text`.
+// Takes the text up to the next blank off `text` and returns it.
 std::string_view takeWord(std::string_view &text)
 {
     const std::string_view word = text.substr(0, text.find(' '));
@@ -106,8 +106,8 @@
     return fail(proto::ERROR_INVALID, "the value of a header holds a control character");
 }
 
-// Name and value of "NAME: VALUE"; nullopt with lastError() when they are not valid. A name with a blank
-// before its colon is not valid, because other readers would take it without the blank.
+// Name and value of "NAME: VALUE"; nullopt with lastError() when they are not valid. A name with a blank before its
+// colon is not valid, because other readers would take it without the blank.
 std::optional<FieldLine> parseFieldLine(std::string_view line)
 {
     const auto colon = line.find(':');
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -109,6 +109,18 @@
     }
 }
 
+// Guards against a response that is refused although another reading of it is allowed.
+TEST_CASE("empty lines before a response are skipped, and a header on two lines is joined")
+{
+    const std::string text = "\r\n\r\nHTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length: 0\r\n\r\n";
+    for (const std::size_t step : {std::size_t(1), std::size_t(1000)}) {
+        HttpParser parser(HttpParser::Kind::Response);
+        CHECK(feedAll(parser, text, step) == text.size());
+        CHECK(parser.complete());
+        CHECK(parser.head().headers == HttpHeaders{{"X", "a b"}, {"Content-Length", "0"}});
+    }
+}
+
 // Guards against request smuggling by a message with two lengths.
 TEST_CASE("ambiguous lengths and other protocols are refused")
 {
