--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,7 +5,7 @@
 
 Callers, backend servers and an operator are simulated by this script, which checks from what they observe:
   - an unsafe request is executed at most once, and never if it was refused with 429 or 503
-  - a response belongs to its request and is complete
+  - a response belongs to its request and is complete, and no part of a broken response of a server arrives
   - no API key reaches a backend server
   - a read never returns a declaration older than one acknowledged before the read
   - an evacuated availability zone receives no requests
@@ -55,6 +55,20 @@
 DOWN_S = 0.05, 1.5  # until a server that ended starts again
 INITIAL_AGE_S = 60.0  # of the first processes of the servers, which are warm
 RETRY_SLACK = 20  # retries of each gateway within its time window beyond a share of its requests
+BROKEN_SHARE = 0.03  # of the responses of servers and of the platform
+BROKEN_BODY = b"broken"
+# Start lines and headers of responses. The broken ones must be refused, the unusual ones must be passed on.
+BROKEN_HEADS = [("HTTP/1.1 000 X", ""), ("HTTP/1.1 099 X", ""), ("HTTP/1.1 0200 OK", ""), ("HTTP/1.1 600 X", ""),
+                ("HTTP/2.0 200 OK", ""), ("HTTP/1.1 200 O\rKX: y", ""), ("HTTP/1.1 200 O\0K", ""),
+                ("HTTP/1.1 200 OK", "X Y: z\r\n"), ("HTTP/1.1 200 OK", "X : z\r\n"),
+                ("HTTP/1.1 200 OK", "X\x01Y: z\r\n"), ("HTTP/1.1 200 OK", "X: y\0\r\n"),
+                ("HTTP/1.1 200 OK", "Content-Length : 1\r\n"), ("HTTP/1.1 200 OK", "Transfer-Encoding : chunked\r\n"),
+                ("HTTP/1.1 200 OK", "Transfer-Encoding: gzip\r\n"),
+                ("HTTP/1.1 103 X\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK", "")]
+PLAIN_HEAD = ("HTTP/1.1 200 OK", "")
+UNUSUAL_HEADS = [("HTTP/1.1 200", ""), ("HTTP/1.1 200 ", ""), ("HTTP/1.1 200 G\xfc\tt", ""),
+                 ("HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~: \t a\xff\tb \r\n"), ("HTTP/1.1 200 OK", "X:\r\n"),
+                 ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK", "")]
 RESTART_SERIES, MAX_RESTARTED_TOGETHER = 3, 3  # series of starts at the same time, and servers in one of them
 LONG_STALL_S = 0.05  # of this script, reported with a failed check because arrivals are observed late
 QUIET_S = 12.0  # phase without faults: until processes are in touch, crashes, BLOCKING_BOUND_S, and as long to count
@@ -238,6 +252,7 @@
     def __init__(self, arguments):
         self.arguments = arguments
         self.random = random.Random(arguments.seed)
+        self.head_random = random.Random(arguments.seed)  # apart, so that heads change no other event of a seed
         self.folder = tempfile.mkdtemp(prefix="banyanledge-soak-")
         self.failures, self.check_count, self.served = [], 0, 0
         self.undisturbed_count, self.kept_answers, self.lost_answers = 0, 0, 0  # requests; answers on kept connections
@@ -370,15 +385,26 @@
                 writer.transport.abort()  # executed, but the response is lost
                 return
             content = f"{name}|{request_id}|".encode() + body * 3
-            writer.write(f"HTTP/1.1 200 OK\r\n{id_header}X-Response-Signature: {name}\r\nX-Backend-Load: 1,0,4\r\n"
-                         f"Content-Length: {len(content)}\r\n\r\n".encode() + content)
-            self.completed[request_id] = name
+            broken, (start_line, more_headers) = self.choose_head()
+            if broken:
+                self.lost_responses.add(request_id)
+                content = BROKEN_BODY
+            else:
+                self.completed[request_id] = name
+            writer.write(f"{start_line}\r\n{id_header}X-Response-Signature: {name}\r\nX-Backend-Load: 1,0,4\r\n"
+                         f"{more_headers}Content-Length: {len(content)}\r\n\r\n".encode("latin-1") + content)
             await writer.drain()
             if "Connection: close" in id_header:
                 writer.close()
         except OSError:
             pass
 
+    def choose_head(self):
+        """Returns whether the head is broken, and its start line and additional headers."""
+        if self.head_random.random() < BROKEN_SHARE:
+            return True, self.head_random.choice(BROKEN_HEADS)
+        return False, self.head_random.choice(UNUSUAL_HEADS + [PLAIN_HEAD] * 10)
+
     def may_be_full(self, service):
         """Whether all servers of a zone, a region here, refused just now, or came back and may have to warm up."""
         now = time.monotonic()
@@ -466,9 +492,12 @@
     async def start_platform(self):
         async def serve(reader, writer):
             while await read_message(reader):
-                body = json.dumps({"Instances": self.list_entries(), "NextToken": None}).encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
-                             % len(body) + body)
+                entries, (broken, (start_line, more_headers)) = self.list_entries(), self.choose_head()
+                if broken:
+                    entries = {name: dict(entry, State="draining") for name, entry in entries.items()}
+                body = json.dumps({"Instances": entries, "NextToken": None}).encode()
+                writer.write(f"{start_line}\r\nContent-Type: application/json\r\n{more_headers}"
+                             f"Content-Length: {len(body)}\r\n\r\n".encode("latin-1") + body)
             writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
@@ -627,7 +656,12 @@
         method, _, _, body = request
         status = response[0] if response else None
         self.statuses[request_id] = status
-        if status == 200:
+        if response:
+            self.check(100 <= status <= 599 and response[2] != BROKEN_BODY,
+                       f"request {request_id} got a broken response with status {status}")
+            self.check(status == 200 or "x-response-signature" not in response[1],
+                       f"the response to {request_id} with status {status} has a server's signature")
+        if status == 200 and response[2] != BROKEN_BODY:
             self.served += 1
             name, received_id, content = response[2].split(b"|", 2)
             self.check(received_id.decode() == request_id and content == body * 3,
