--- a/net/messagelines.cpp
+++ b/net/messagelines.cpp
@@ -251,7 +251,7 @@
     if (m_framesBody) {
         return failLength();
     }
-    return isFieldText(line) ? std::optional<MessageLine>(FieldContinuation{trimmed(line)}) : failValue();
+    return isFieldText(line) ? std::optional<MessageLine>(FieldContinuation()) : failValue();
 }
 
 std::optional<MessageLine> MessageLines::readField(std::string_view line)
--- a/net/messagelines.h
+++ b/net/messagelines.h
@@ -61,7 +61,6 @@
 // Continues the value of the field before it (obs-fold).
 struct FieldContinuation
 {
-    std::string_view value; // without the blanks and tabs around it
 };
 
 // The empty line that ends the head, or the trailers after a chunked body.
--- a/tests/test_gateway_responses.cpp
+++ b/tests/test_gateway_responses.cpp
@@ -12,9 +12,8 @@
 
 using Connection = std::shared_ptr<ScriptedConnection>;
 
-// Requests that a server receives, one after the other, from a gateway that counts each of them as failed. Later ones
-// go to other servers.
-constexpr std::size_t maxFailuresBeforeEjection = 4;
+// Three failures in a row eject a server. On a slow machine the test may last until the trial request after that.
+constexpr std::size_t maxFailuresAndTrials = 4;
 
 std::vector<ResponseCase> brokenResponses()
 {
@@ -85,7 +84,7 @@
         for (int i = 0; i < 12; ++i) {
             CHECK(fixture.call(GatewayFixture::request("safe", "a")).status() == 200);
         }
-        CHECK(fixture.servers[0].received.size() <= maxFailuresBeforeEjection);
+        CHECK(fixture.servers[0].received.size() <= maxFailuresAndTrials);
     }
 }
 
