Entry role: refuse a waiting request when the freshness lease lapses

What callers saw: a request hung until its own deadline (30 s by default) on a host that had lost touch with the control hosts, instead of 503 with "not-run".

Cause: key and lease were rechecked only while a backend server processed the request. The lease of the owner of tokens or slots can end before that of the host that asks it. Such an owner grants nothing and answers "retry", so a request that its host admitted in between waited without any further check; also for a claim, and for a slot of a retry.

Change: the recheck starts when a request is admitted and goes on until it ends. A withdrawn key ends waiting requests in the same way (401).

--- a/entry/dispatch.cpp
+++ b/entry/dispatch.cpp
@@ -21,11 +21,11 @@
 // Timeout for connecting to a backend server; connecting takes about 1 ms within a region and 50 ms between regions.
 constexpr milliseconds connectTimeout{1000};
 
-// Interval of the checks of key and lease while a backend server processes the request.
+// Interval of the checks of key and lease while a request waits or a backend server processes it.
 constexpr milliseconds recheckInterval{500};
 
-// How long a running request waits for the renewal of the lease. Together with the lease term and the recheck interval,
-// a withdrawn key ends a response on a partitioned host within 2.5 s (guaranteed: 3 s).
+// How long an admitted request waits for the renewal of the lease. Together with the lease term and the recheck
+// interval, a withdrawn key ends a response on a partitioned host within 2.5 s (guaranteed: 3 s).
 constexpr milliseconds renewalTimeout{500};
 
 double randomFraction()
@@ -150,7 +150,6 @@
         });
     };
     m_transfer = m_shared->backend->start(backendRequest(), std::move(callbacks));
-    scheduleRecheck();
 }
 
 // Whether the request may still be sent: `Sent` or the reason against it. Runs on the HTTP client's thread.
@@ -365,7 +364,8 @@
     runAt(m_recheckTimer, Clock::now() + recheckInterval, &Exchange::recheck);
 }
 
-// Ends a response when its key was withdrawn or this host can no longer tell whether it was.
+// Ends a request when its key was withdrawn or this host can no longer tell whether it was. This includes requests that
+// wait for tokens, a claim or a slot, because without a lease their owner may be out of reach until their deadline.
 void Exchange::recheck()
 {
     if (!isKeyValid()) {
--- a/entry/exchange.cpp
+++ b/entry/exchange.cpp
@@ -193,6 +193,7 @@
         refuseOrAbort(*refusal);
         return;
     }
+    scheduleRecheck();
     chooseRegions(*view);
 }
 
@@ -463,7 +464,6 @@
     }
     ++m_attemptNumber; // later updates of this attempt are ignored
     m_transfer.reset();
-    m_recheckTimer.stop();
     releaseSlot(outcome);
 }
 
--- a/tests/entry_fixture.cpp
+++ b/tests/entry_fixture.cpp
@@ -306,6 +306,7 @@
 
 EntryFixture::~EntryFixture()
 {
+    answerHeldCalls();
     eventually([this] { return m_path->inFlight() == 0; });
     m_server.stop();
 }
@@ -394,9 +395,12 @@
     deps.fresh = [this](Time) { return fresh.load(); };
     deps.whenFresh = [this](Time, const std::function<void(bool)> &done) { done(fresh); };
     deps.poolLoads = [] { return std::vector<proto::PoolLoad>(); };
-    deps.propose = [this](const proto::Command &command, Time, const auto &done) { done(apply(command)); };
+    deps.propose = [this](const proto::Command &command, Time, const auto &done) {
+        callOrHold(command.has_claim() && heldStep == Step::Claim, [this, command, done] { done(apply(command)); });
+    };
     deps.takeTokens = [this](const std::string &resource, double amount, Time, const auto &done) {
-        takeTokens(resource, amount, done);
+        callOrHold(resource.starts_with("customer:") && heldStep == Step::CustomerToken,
+                   [this, resource, amount, done] { takeTokens(resource, amount, done); });
     };
     deps.returnTokens = [this](const std::string &resource, double amount) {
         const std::lock_guard lock(m_mutex);
@@ -453,15 +457,51 @@
     done(AdmissionResult{});
 }
 
+void EntryFixture::callOrHold(bool hold, std::function<void()> call)
+{
+    if (!hold) {
+        call();
+        return;
+    }
+    const std::lock_guard lock(m_mutex);
+    m_heldCalls.push_back(std::move(call));
+}
+
+std::size_t EntryFixture::heldCalls() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_heldCalls.size();
+}
+
+void EntryFixture::answerHeldCalls()
+{
+    std::vector<std::function<void()>> calls;
+    {
+        const std::lock_guard lock(m_mutex);
+        calls.swap(m_heldCalls);
+    }
+    for (const auto &call : calls) {
+        call();
+    }
+}
+
 void EntryFixture::acquireSlot(const SlotRequest &request, const std::function<void(SlotLease)> &done)
 {
     if (beforeSlot) {
         beforeSlot();
     }
+    bool isFirst = false;
     {
         const std::lock_guard lock(m_mutex);
+        isFirst = m_slotWaits.empty();
         m_slotWaits.push_back(request.waitUntil - Clock::now());
     }
+    callOrHold(heldStep == Step::Slot || (heldStep == Step::SlotOfRetry && !isFirst),
+               [this, request, done] { grantSlot(request, done); });
+}
+
+void EntryFixture::grantSlot(const SlotRequest &request, const std::function<void(SlotLease)> &done)
+{
     SlotLease lease;
     lease.service = request.service;
     lease.region = request.region;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -106,12 +106,24 @@
     std::map<std::string, proto::Claim> claims() const;
     RequestPath &path();
 
+    // Steps of a request whose calls the fixture can leave unanswered.
+    enum class Step {
+        None,
+        CustomerToken,
+        Claim,
+        Slot,
+        SlotOfRetry, // each slot after the first
+    };
+    std::size_t heldCalls() const; // left unanswered
+    void answerHeldCalls(); // grants the calls that were left unanswered because of `heldStep`
+
     static constexpr const char *key = "0123456789abcdef0123456789abcdef";
     std::atomic<bool> fresh = true; // the freshness lease is valid
     std::atomic<bool> refuseCustomerTokens = false;
     std::atomic<bool> refuseShiftTokens = false;
     std::atomic<bool> refuseLinkTokens = false;
     std::atomic<bool> refuseSlots = false;
+    std::atomic<Step> heldStep = Step::None; // calls of this step stay unanswered until answerHeldCalls()
     std::atomic<Revision> slotIncarnation = 0; // of the server processes that the next slots belong to
     std::function<void()> beforeSlot; // runs before each slot is granted
 
@@ -121,6 +133,8 @@
     void acquireSlot(const SlotRequest &request, const std::function<void(SlotLease)> &done);
 
     void takeTokens(const std::string &resource, double amount, const std::function<void(AdmissionResult)> &done);
+    void grantSlot(const SlotRequest &request, const std::function<void(SlotLease)> &done);
+    void callOrHold(bool hold, std::function<void()> call);
 
     std::vector<std::string> m_servers;
     const Options m_options;
@@ -132,6 +146,7 @@
     std::vector<Duration> m_slotWaits;
     std::map<std::string, double> m_tokens;
     std::map<std::string, proto::Claim> m_claims;
+    std::vector<std::function<void()>> m_heldCalls;
     BackendClient m_backend;
     std::unique_ptr<RequestPath> m_path;
     EntryServer m_server;
--- a/tests/test_entry.cpp
+++ b/tests/test_entry.cpp
@@ -146,6 +146,41 @@
     CHECK(server.requests().empty());
 }
 
+// A request that waited for an owner which could not act either was refused only at its deadline. The grants that
+// arrive after the refusal must be returned.
+TEST_CASE("a request that waits is refused when its key is withdrawn or the lease lapses")
+{
+    using Step = EntryFixture::Step;
+    const Step step = GENERATE(Step::CustomerToken, Step::Claim, Step::Slot, Step::SlotOfRetry);
+    const bool withdrawn = GENERATE(true, false);
+    CAPTURE(static_cast<int>(step), withdrawn);
+    ScriptedServer server([](const std::string &, Socket &socket) {
+        sendAll(socket, "HTTP/1.1 503 Busy\r\nBanyanledge-Shed: 1\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    });
+    EntryFixture fixture({server.address(), server.address()});
+    fixture.heldStep = step;
+    TestClient client(fixture.port());
+    client.send(requestText("POST", "/s/lessons/x", "Banyanledge-Request-Id: a\r\n", "b"));
+    REQUIRE(eventually([&] { return fixture.heldCalls() == 1; }));
+    const Time changedAt = Clock::now();
+    if (withdrawn) {
+        fixture.withdrawKey();
+    } else {
+        fixture.fresh = false;
+    }
+    const auto response = client.receive();
+    CHECK(Clock::now() - changedAt < std::chrono::seconds(3));
+    CHECK(contains(response, withdrawn ? "HTTP/1.1 401 " : "HTTP/1.1 503 "));
+    CHECK(contains(response, "Banyanledge-Outcome: not-run"));
+    fixture.answerHeldCalls();
+    CHECK(eventually([&] { return fixture.path().inFlight() == 0; }));
+    CHECK(fixture.heldSlots() == 0);
+    CHECK(fixture.tokens() == 0);
+    CHECK(fixture.claims().empty());
+    CHECK(server.requests().size() == (step == Step::SlotOfRetry ? 1 : 0));
+}
+
 // On a kept-alive connection the key of each request counts, not the one that opened the connection (P5).
 TEST_CASE("a withdrawn key stops working on a kept-alive connection")
 {
--- a/tests/test_withdrawal.cpp
+++ b/tests/test_withdrawal.cpp
@@ -3,8 +3,11 @@
 // withdrawal, so it has to stop serving within the same time.
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <csignal>
+#include <future>
 #include <thread>
+#include <vector>
 
 #include "tests/fleet.h"
 
@@ -16,6 +19,13 @@
 
 constexpr milliseconds withdrawalBound{3000};
 
+// How long a host is paused so that its lease ends earlier than those of the others.
+constexpr milliseconds leaseLag{1000};
+
+// How long to send requests to hosts that reach no control host: longer than the term of their leases.
+constexpr milliseconds sendingTime{2000};
+constexpr milliseconds requestInterval{50};
+
 struct IssuedKey
 {
     std::string id;
@@ -55,6 +65,23 @@
     });
 }
 
+// Sends requests to every entry host for `sendingTime`; gives the time from `start` until the end of each.
+std::vector<std::future<Duration>> sendToAllEntries(const Fleet &fleet, const std::string &key, Time start)
+{
+    std::vector<std::future<Duration>> ends;
+    while (Clock::now() - start < sendingTime) {
+        for (const Process &entry : fleet.processes("entry")) {
+            ends.push_back(std::async(std::launch::async, [key, entry, start] {
+                HttpClient client;
+                get(client, entry, "/s/lessons/a", key);
+                return Clock::now() - start;
+            }));
+        }
+        std::this_thread::sleep_for(requestInterval);
+    }
+    return ends;
+}
+
 } // namespace
 
 TEST_CASE("withdrawn keys")
@@ -124,4 +151,28 @@
             fleet.signal(control.name, SIGCONT);
         }
     }
+
+    // The lease of an owner may end before that of a host that asks it for tokens or slots. A request admitted by that
+    // host waited for them until its own deadline.
+    SECTION("leave no request waiting for an owner whose lease has ended")
+    {
+        for (const Process &owner : fleet.processes("entry")) {
+            fleet.signal(owner.name, SIGSTOP);
+            std::this_thread::sleep_for(leaseLag);
+            for (const Process &control : fleet.processes("control")) {
+                fleet.signal(control.name, SIGSTOP);
+            }
+            const Time pausedAt = Clock::now();
+            fleet.signal(owner.name, SIGCONT);
+            auto ends = sendToAllEntries(fleet, key.key, pausedAt);
+            const auto late =
+                std::count_if(ends.begin(), ends.end(), [](auto &end) { return end.get() >= withdrawalBound; });
+            CAPTURE(owner.name);
+            CHECK(late == 0);
+            for (const Process &control : fleet.processes("control")) {
+                fleet.signal(control.name, SIGCONT);
+            }
+            REQUIRE(waitForKey(fleet, key.key));
+        }
+    }
 }
