--- a/net/framingcheck.cpp
+++ b/net/framingcheck.cpp
@@ -16,6 +16,15 @@
     return false;
 }
 
+// Separators that http_parser takes for part of the value of a field that it interprets; none for another field.
+std::string_view misreadSeparators(std::string_view name)
+{
+    if (equalsIgnoreCase(name, codingField)) {
+        return "\t,";
+    }
+    return equalsIgnoreCase(name, lengthField) || equalsIgnoreCase(name, "Connection") ? "\t" : "";
+}
+
 } // namespace
 
 FramingCheck::FramingCheck(MessageKind kind)
@@ -23,24 +32,25 @@
 {
 }
 
-std::optional<std::size_t> FramingCheck::take(std::string_view bytes)
+std::optional<std::string_view> FramingCheck::take(std::string_view bytes)
 {
+    m_simplified = {};
     if (m_part == Part::Body) {
-        return bytes.size();
+        return bytes;
     }
     if (m_part == Part::ChunkData) {
-        return takeData(bytes);
+        return bytes.substr(0, takeData(bytes));
     }
     const Part part = m_part;
     std::size_t taken = 0;
     while (taken < bytes.size() && m_part == part) {
-        const auto lineBytes = takeLine(bytes.substr(taken));
+        const auto lineBytes = takeLine(bytes, taken);
         if (!lineBytes) {
             return std::nullopt;
         }
         taken += *lineBytes;
     }
-    return taken;
+    return (m_simplified.empty() ? bytes : m_simplified).substr(0, taken);
 }
 
 std::size_t FramingCheck::takeData(std::string_view bytes)
@@ -51,19 +61,41 @@
     return taken;
 }
 
-// Takes bytes up to the end of a line.
-std::optional<std::size_t> FramingCheck::takeLine(std::string_view bytes)
+// Takes bytes from `begin` up to the end of a line and returns how many.
+std::optional<std::size_t> FramingCheck::takeLine(std::string_view bytes, std::size_t begin)
 {
-    const auto position = bytes.find('\n');
-    if (position == std::string_view::npos) {
-        const std::size_t checkedBytes = m_partialLine.size();
-        m_partialLine += bytes;
-        return checkPartialLine(checkedBytes) ? std::optional(bytes.size()) : std::nullopt;
+    const auto position = bytes.find('\n', begin);
+    const bool isWhole = position != std::string_view::npos;
+    const std::string_view piece = bytes.substr(begin, isWhole ? position + 1 - begin : position);
+    const std::string_view line = isWhole && m_partialLine.empty() ? piece : m_partialLine.append(piece);
+    const bool isInHead = m_part == Part::Head;
+    if (!(isWhole ? checkLine(line) : checkPartialLine(line.size() - piece.size()))) {
+        return std::nullopt;
+    }
+    if (isInHead) {
+        simplifyField(line, bytes, begin, piece.size());
+    }
+    if (isWhole) {
+        m_partialLine = {};
+    }
+    return piece.size();
+}
+
+// Writes spaces over what http_parser would misread in the piece at `begin`, the newest one of its line.
+void FramingCheck::simplifyField(std::string_view line, std::string_view bytes, std::size_t begin, std::size_t size)
+{
+    const std::string_view separators = misreadSeparators(line.substr(0, line.find(':')));
+    const std::string_view piece = bytes.substr(begin, size);
+    const auto isInPiece = [piece](char separator) { return piece.find(separator) != std::string_view::npos; };
+    if (std::none_of(separators.begin(), separators.end(), isInPiece)) {
+        return;
+    }
+    if (m_simplified.empty()) {
+        m_simplified = bytes;
+    }
+    for (std::size_t i = begin; i < begin + size; ++i) {
+        m_simplified[i] = separators.find(bytes[i]) == std::string_view::npos ? bytes[i] : ' ';
     }
-    const std::string_view piece = bytes.substr(0, position + 1);
-    const bool isValid = checkLine(m_partialLine.empty() ? piece : m_partialLine.append(piece));
-    m_partialLine = {};
-    return isValid ? std::optional(piece.size()) : std::nullopt;
 }
 
 // Checks what has arrived of a line, because a sender that does not end it as it should may wait for an answer; false
@@ -109,7 +141,7 @@
 
 std::size_t FramingCheck::memoryBytes() const
 {
-    return m_partialLine.capacity();
+    return m_partialLine.capacity() + m_simplified.capacity();
 }
 
 } // namespace banyanledge
--- a/net/framingcheck.h
+++ b/net/framingcheck.h
@@ -18,9 +18,10 @@
 public:
     explicit FramingCheck(MessageKind kind);
 
-    // Checks bytes up to the end of the present part and returns how many; nullopt with lastError() if they are not
-    // valid.
-    std::optional<std::size_t> take(std::string_view bytes);
+    // Checks bytes up to the end of the present part and returns them as a parser is to read them: as they are, but
+    // with spaces for tabs and empty list elements in fields that http_parser interprets, because it takes them for
+    // part of the value. nullopt with lastError() if the bytes are not valid. The text is valid until the next call.
+    std::optional<std::string_view> take(std::string_view bytes);
 
     // Whether the empty line after the head was taken.
     bool headEnded() const;
@@ -35,13 +36,15 @@
     enum class Part { Head, Body, ChunkSize, ChunkData, ChunkEnd, Trailers };
 
     std::size_t takeData(std::string_view bytes);
-    std::optional<std::size_t> takeLine(std::string_view bytes);
+    std::optional<std::size_t> takeLine(std::string_view bytes, std::size_t begin);
+    void simplifyField(std::string_view line, std::string_view bytes, std::size_t begin, std::size_t size);
     bool checkPartialLine(std::size_t checkedBytes) const;
     bool checkLine(std::string_view line);
 
     Part m_part = Part::Head;
     MessageLines m_lines;
     std::string m_partialLine; // start of a line whose end has not arrived
+    std::string m_simplified; // text for the parser; empty if it is to read the bytes as they are
     std::uint64_t m_chunkBytes = 0; // of the present chunk, not taken yet
 };
 
--- a/net/http.cpp
+++ b/net/http.cpp
@@ -259,13 +259,13 @@
 std::size_t HttpParser::Private::readPart(std::string_view bytes)
 {
     const bool inHead = !headComplete;
-    const auto checkedBytes = framing.take(bytes);
-    if (!checkedBytes) {
+    const auto checkedText = framing.take(bytes);
+    if (!checkedText) {
         fail(lastError().message);
         return 0;
     }
-    headBytes += inHead ? *checkedBytes : 0;
-    return execute(bytes.substr(0, *checkedBytes));
+    headBytes += inHead ? checkedText->size() : 0;
+    return execute(*checkedText);
 }
 
 // Passes bytes to the library and returns how many belong to the message.
--- a/net/messagelines.cpp
+++ b/net/messagelines.cpp
@@ -96,6 +96,22 @@
     return error == std::errc() && end == last ? std::optional(number) : std::nullopt;
 }
 
+// The element of a comma-separated list whose other elements are empty; an empty text if there is no such element.
+std::string_view onlyElement(std::string_view list)
+{
+    std::string_view only;
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        const std::string_view element = trimmed(list.substr(0, comma));
+        if (!element.empty() && !only.empty()) {
+            return {};
+        }
+        only = element.empty() ? only : element;
+        list.remove_prefix(comma == std::string_view::npos ? list.size() : comma + 1);
+    }
+    return only;
+}
+
 std::nullopt_t failLength()
 {
     return fail(proto::ERROR_INVALID, "the length of the body is ambiguous");
@@ -268,8 +284,8 @@
 // Takes what the field says of the length of the body; false with lastError() if this is not clear.
 bool MessageLines::readBodyFraming(const FieldLine &field)
 {
-    const bool isLength = equalsIgnoreCase(field.name, "Content-Length");
-    const bool isCoding = equalsIgnoreCase(field.name, "Transfer-Encoding");
+    const bool isLength = equalsIgnoreCase(field.name, lengthField);
+    const bool isCoding = equalsIgnoreCase(field.name, codingField);
     m_framesBody = isLength || isCoding;
     return isLength ? readLength(field.value) : !isCoding || readCoding(field.value);
 }
@@ -285,10 +301,12 @@
     return true;
 }
 
-// Another coding than chunked, once, is not supported.
+// Another coding than chunked, once, is not supported. In a request it must stand alone, because a proxy before this
+// one may not know empty list elements and see another length.
 bool MessageLines::readCoding(std::string_view value)
 {
-    if (m_bodyFraming.chunked || !equalsIgnoreCase(value, "chunked")) {
+    const std::string_view coding = m_kind == MessageKind::Response ? onlyElement(value) : value;
+    if (m_bodyFraming.chunked || !equalsIgnoreCase(coding, "chunked")) {
         fail(proto::ERROR_INVALID, "the transfer coding is not chunked alone");
         return false;
     }
--- a/net/messagelines.h
+++ b/net/messagelines.h
@@ -12,6 +12,10 @@
 // Ends each line. Readers accept lines of a head that end with LF alone.
 constexpr std::string_view lineEnd = "\r\n";
 
+// Names of the fields that tell the length of a body.
+constexpr std::string_view lengthField = "Content-Length";
+constexpr std::string_view codingField = "Transfer-Encoding";
+
 enum class MessageKind { Request, Response };
 
 // Whether a response may have this status.
--- a/tests/response_cases.cpp
+++ b/tests/response_cases.cpp
@@ -140,8 +140,9 @@
 
 void addBrokenCodings(std::vector<ResponseCase> &cases)
 {
-    for (const char *coding : {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked;q=1", "identity",
-                               "xchunked", "chunkedx", "chunked x", "\"chunked\"", ""}) {
+    for (const char *coding :
+         {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked;q=1", "identity", "xchunked",
+          "chunkedx", "chunked x", "\"chunked\"", "", ",", "chunked,,chunked", ",gzip,"}) {
         cases.push_back(
             {"coding '"s + coding + "'", framed("Transfer-Encoding: "s + coding + "\r\n", "4\r\nbody\r\n0\r\n\r\n")});
     }
@@ -175,6 +176,10 @@
         {"empty value", withField("X:"), 200, "body"},
         {"value with tabs and bytes over 0x7f", withField("X: \t a\t\x80\xff b"), 200, "body"},
         {"zero before the length", framed("content-LENGTH: 04 \r\n", "body"), 200, "body"},
+        {"tabs around the length", framed("Content-Length:\t4\t\r\n", "body"), 200, "body"},
+        {"tabs around the coding", framed("Transfer-Encoding:\tchunked\t \r\n", "4\r\nbody\r\n0\r\n\r\n"), 200, "body"},
+        {"empty elements beside the coding", framed("Transfer-Encoding: ,\t, chunked ,,\r\n", "4\r\nbody\r\n0\r\n\r\n"),
+         200, "body"},
         {"empty body", framed("Content-Length: 0\r\n", ""), 200, ""},
         {"204", "HTTP/1.1 204 X\r\n" + identity + "\r\n", 204, ""},
         {"304", "HTTP/1.1 304 X\r\n" + identity + "\r\n", 304, ""},
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -121,6 +121,28 @@
     }
 }
 
+// Guards against a connection that is used again after its server said that it closes it.
+TEST_CASE("tabs around a connection option do not hide it")
+{
+    const std::string option = GENERATE("close", "\tclose", "close\t", "close\t ", "x,\tclose\t, y");
+    const auto step = GENERATE(std::size_t(1), std::size_t(1000));
+    CAPTURE(option, step);
+    HttpParser parser(HttpParser::Kind::Response);
+    feedAll(parser, "HTTP/1.1 200 OK\r\nConnection: " + option + "\r\nContent-Length: 0\r\n\r\n", step);
+    CHECK(parser.complete());
+    CHECK_FALSE(parser.head().keepAlive);
+}
+
+// Guards against request smuggling by a coding that a proxy before this one may read in another way.
+TEST_CASE("empty list elements beside the coding of a request are refused")
+{
+    const std::string coding = GENERATE("chunked,", ",chunked", ", chunked", "chunked ,");
+    CAPTURE(coding);
+    HttpParser parser(HttpParser::Kind::Request);
+    feedAll(parser, "POST / HTTP/1.1\r\nTransfer-Encoding: " + coding + "\r\n\r\n0\r\n\r\n", 1000);
+    CHECK(parser.failed());
+}
+
 // Guards against request smuggling by a message with two lengths.
 TEST_CASE("ambiguous lengths and other protocols are refused")
 {
