--- a/apps/client.cpp
+++ b/apps/client.cpp
@@ -19,12 +19,6 @@
 // s.
 constexpr milliseconds retryDelay{200};
 
-std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
-{
-    static_cast<std::string *>(target)->append(data, size * count);
-    return size * count;
-}
-
 std::string stringField(const google::protobuf::Struct &object, const std::string &name)
 {
     const auto found = object.fields().find(name);
@@ -77,9 +71,11 @@
     ResponseCheck check;
     curl_easy_setopt(curl.get(), CURLOPT_HEADERFUNCTION, ResponseCheck::readLine);
     curl_easy_setopt(curl.get(), CURLOPT_HEADERDATA, &check);
-    curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, appendBody);
-    curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &reply.body);
-    if (curl_easy_perform(curl.get()) == CURLE_OK) {
+    curl_easy_setopt(curl.get(), CURLOPT_HTTP_TRANSFER_DECODING, 0L);
+    curl_easy_setopt(curl.get(), CURLOPT_WRITEFUNCTION, ResponseCheck::readBody);
+    curl_easy_setopt(curl.get(), CURLOPT_WRITEDATA, &check);
+    if (curl_easy_perform(curl.get()) == CURLE_OK && check.complete()) {
+        reply.body = check.body();
         long status = 0;
         curl_easy_getinfo(curl.get(), CURLINFO_RESPONSE_CODE, &status);
         reply.status = static_cast<unsigned>(status);
--- a/control/platform.cpp
+++ b/control/platform.cpp
@@ -205,17 +205,6 @@
     pollState.entryHosts = list.entryHosts;
 }
 
-// Write callback of libcurl: appends count elements of the given size to the string behind `target`.
-std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target)
-{
-    auto &body = *static_cast<std::string *>(target);
-    if (body.size() + size * count > maxPlatformListBytes) {
-        return 0; // ends the transfer with an error
-    }
-    body.append(data, size * count);
-    return size * count;
-}
-
 } // namespace
 
 bool PlatformList::empty() const
@@ -289,8 +278,7 @@
 
 std::optional<std::string> PlatformPoller::Private::fetch(const std::string &url)
 {
-    std::string body;
-    ResponseCheck check;
+    ResponseCheck check(maxPlatformListBytes);
     curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
     curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, pollTimeoutMs);
@@ -301,17 +289,18 @@
     curl_easy_setopt(curl, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
     curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, ResponseCheck::readLine);
     curl_easy_setopt(curl, CURLOPT_HEADERDATA, &check);
-    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, appendBody);
-    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &body);
+    curl_easy_setopt(curl, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, ResponseCheck::readBody);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &check);
     const CURLcode code = curl_easy_perform(curl);
-    if (code != CURLE_OK) {
+    if (code != CURLE_OK || !check.complete()) {
         return fail(
             proto::ERROR_IO,
             std::string(
                 "the request for the platform's list failed; check the platform and its address in the settings: ")
                 + (check.error().empty() ? curl_easy_strerror(code) : check.error()));
     }
-    return body;
+    return check.body();
 }
 
 void PlatformPoller::Private::run()
--- a/entry/backend.cpp
+++ b/entry/backend.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "net/bodydecoder.h"
 #include "net/messagelines.h"
 
 namespace banyanledge
@@ -37,6 +38,7 @@
     bool queued = false; // is in the delivery queue
     std::vector<Transfer *> *deliveryQueue = nullptr; // owned by the worker thread
     MessageLines lines{MessageKind::Response};
+    BodyDecoder decoder;
     BackendHead head;
     bool headComplete = false;
     std::string invalidity; // why the response is not valid HTTP/1.1; empty while it is
@@ -78,9 +80,7 @@
 
 void readField(Transfer &transfer, const FieldLine &field)
 {
-    if (!transfer.headComplete) { // trailers are ignored
-        transfer.head.headers.push_back({std::string(field.name), std::string(field.value)});
-    }
+    transfer.head.headers.push_back({std::string(field.name), std::string(field.value)});
 }
 
 // Completes the response head. Rejects a body delimited only by the end of the connection, because a truncated one
@@ -108,7 +108,15 @@
     transfer.head.status = line.status;
 }
 
-// Takes a line of the head, of interim responses before it or of the trailers.
+std::string failureReason(const Transfer &transfer, CURLcode code)
+{
+    if (!transfer.invalidity.empty()) {
+        return "invalid HTTP response: " + transfer.invalidity;
+    }
+    return code == CURLE_OK ? "the response is incomplete" : curl_easy_strerror(code);
+}
+
+// Takes a line of the head, or of interim responses before it. Trailers are a part of the chunked body.
 std::size_t onHeaderLine(char *data, std::size_t, std::size_t size, void *user)
 {
     auto &transfer = *static_cast<Transfer *>(user);
@@ -132,8 +140,13 @@
         transfer.paused = true;
         return CURL_WRITEFUNC_PAUSE;
     }
-    transfer.update.data.append(data, size);
-    transfer.unconsumedBytes += size;
+    std::string &body = transfer.update.data;
+    const std::size_t bodyBytes = body.size();
+    if (!transfer.decoder.read(transfer.lines, {data, size}, body)) {
+        transfer.invalidity = lastError().message;
+        return 0; // libcurl aborts the transfer and closes the connection
+    }
+    transfer.unconsumedBytes += body.size() - bodyBytes;
     queueDelivery(transfer);
     return size;
 }
@@ -205,6 +218,8 @@
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeaderLine);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
+    // Passes chunks on as they arrived, because libcurl reads them less strictly.
+    curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBodyPart);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onConnected);
@@ -344,13 +359,11 @@
             curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
             const CURLcode code = message->data.result;
             queueDelivery(*transfer);
-            if (code == CURLE_OK && transfer->headComplete) {
+            if (code == CURLE_OK && transfer->headComplete && transfer->decoder.complete()) {
                 transfer->update.end = TransferResult::Complete;
             } else {
                 transfer->update.end = transfer->sent ? TransferResult::Broken : TransferResult::NotSent;
-                transfer->update.error = transfer->invalidity.empty()
-                    ? curl_easy_strerror(code)
-                    : "invalid HTTP response: " + transfer->invalidity;
+                transfer->update.error = failureReason(*transfer, code);
             }
         }
     }
--- a/fleet/healthprober.cpp
+++ b/fleet/healthprober.cpp
@@ -31,22 +31,10 @@
 struct Probe
 {
     ProbeTarget target;
-    std::string body;
     Time started;
-    ResponseCheck check;
+    ResponseCheck check{maxBodyBytes};
 };
 
-// Write callback of libcurl; returning 0 aborts the transfer.
-std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *user)
-{
-    std::string &body = static_cast<Probe *>(user)->body;
-    if (body.size() + size * count > maxBodyBytes) {
-        return 0;
-    }
-    body.append(data, size * count);
-    return size * count;
-}
-
 } // namespace
 
 ProbeResult parseHealth(const std::string &body)
@@ -96,13 +84,14 @@
                 continue;
             }
             CURL *easy = curl_easy_init();
-            auto probe = std::make_unique<Probe>(Probe{target, {}, Clock::now(), {}});
+            auto probe = std::make_unique<Probe>(Probe{target, Clock::now()});
             const std::string url = "http://" + target.address + "/health";
             curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
             curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, ResponseCheck::readLine);
             curl_easy_setopt(easy, CURLOPT_HEADERDATA, &probe->check);
-            curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, appendBody);
-            curl_easy_setopt(easy, CURLOPT_WRITEDATA, probe.get());
+            curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
+            curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, ResponseCheck::readBody);
+            curl_easy_setopt(easy, CURLOPT_WRITEDATA, &probe->check);
             curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(probeTimeout.count()));
             curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
             curl_easy_setopt(easy, CURLOPT_PROXY, ""); // ignores the proxy variables of the environment
@@ -124,10 +113,11 @@
             long status = 0;
             curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
             ProbeResult result;
-            if (message->data.result == CURLE_OK && status >= 200 && status < 300) {
-                result = parseHealth(found->second->body);
+            const ResponseCheck &check = found->second->check;
+            if (message->data.result == CURLE_OK && check.complete() && status >= 200 && status < 300) {
+                result = parseHealth(check.body());
             }
-            if (const std::string &reason = found->second->check.error(); !reason.empty()) {
+            if (const std::string reason = check.error(); !reason.empty()) {
                 logInfo("health check failed", {{"server", found->second->target.server}, {"reason", reason}});
             }
             result.latency = Clock::now() - found->second->started;
--- a/net/framingcheck.cpp
+++ b/net/framingcheck.cpp
@@ -16,6 +16,9 @@
     return false;
 }
 
+// Largest line of chunks and trailers, which is kept until its end has arrived.
+constexpr std::size_t maxChunkLineBytes = 65536;
+
 // Separators that http_parser takes for part of the value of a field that it interprets; none for another field.
 std::string_view misreadSeparators(std::string_view name)
 {
@@ -32,6 +35,12 @@
 {
 }
 
+FramingCheck::FramingCheck(const MessageLines &headLines)
+    : m_part(Part::ChunkSize)
+    , m_lines(headLines)
+{
+}
+
 std::optional<std::string_view> FramingCheck::take(std::string_view bytes)
 {
     m_simplified = {};
@@ -69,6 +78,9 @@
     const std::string_view piece = bytes.substr(begin, isWhole ? position + 1 - begin : position);
     const std::string_view line = isWhole && m_partialLine.empty() ? piece : m_partialLine.append(piece);
     const bool isInHead = m_part == Part::Head;
+    if (!isInHead && line.size() > maxChunkLineBytes) {
+        return fail(proto::ERROR_INVALID, "a line of the chunks or trailers is too long");
+    }
     if (!(isWhole ? checkLine(line) : checkPartialLine(line.size() - piece.size()))) {
         return std::nullopt;
     }
@@ -139,6 +151,16 @@
     return m_lines.bodyFraming().chunked;
 }
 
+bool FramingCheck::isInChunkData() const
+{
+    return m_part == Part::ChunkData;
+}
+
+bool FramingCheck::chunksEnded() const
+{
+    return isChunked() && m_part == Part::Body;
+}
+
 std::size_t FramingCheck::memoryBytes() const
 {
     return m_partialLine.capacity() + m_simplified.capacity();
--- a/net/framingcheck.h
+++ b/net/framingcheck.h
@@ -18,6 +18,9 @@
 public:
     explicit FramingCheck(MessageKind kind);
 
+    // Checks the chunks and trailers after a head that `headLines` has read.
+    explicit FramingCheck(const MessageLines &headLines);
+
     // Checks bytes up to the end of the present part and returns them as a parser is to read them: as they are, but
     // with spaces for tabs and empty list elements in fields that http_parser interprets, because it takes them for
     // part of the value. nullopt with lastError() if the bytes are not valid. The text is valid until the next call.
@@ -29,6 +32,12 @@
     // Whether the head that was taken announces chunks.
     bool isChunked() const;
 
+    // Whether the next bytes are data of a chunk.
+    bool isInChunkData() const;
+
+    // Whether the chunks and the trailers after them were taken.
+    bool chunksEnded() const;
+
     // Memory that is in use between calls.
     std::size_t memoryBytes() const;
 
--- a/tests/test_curl_responses.cpp
+++ b/tests/test_curl_responses.cpp
@@ -94,8 +94,9 @@
 std::vector<ResponseCase> brokenResponses()
 {
     std::vector<ResponseCase> cases = brokenHeads();
-    const auto bodies = brokenBodies();
-    cases.insert(cases.end(), bodies.begin(), bodies.end());
+    for (const auto &bodies : {brokenBodies(), brokenChunkExtensions()}) {
+        cases.insert(cases.end(), bodies.begin(), bodies.end());
+    }
     return cases;
 }
 
--- a/tests/test_entry_responses.cpp
+++ b/tests/test_entry_responses.cpp
@@ -74,7 +74,10 @@
 // Guards against a response that looks complete to the client although its end is broken, and counts as a success.
 TEST_CASE("a response with broken chunks or trailers does not look complete")
 {
-    for (const ResponseCase &broken : brokenBodies()) {
+    std::vector<ResponseCase> cases = brokenBodies();
+    const auto extensions = brokenChunkExtensions();
+    cases.insert(cases.end(), extensions.begin(), extensions.end());
+    for (const ResponseCase &broken : cases) {
         CAPTURE(broken.name);
         ScriptedServer server(respondAlways(broken.bytes));
         EntryFixture fixture({server.address()});
@@ -89,6 +92,19 @@
     }
 }
 
+// Guards against a decoder of chunks that does not find the end of the response.
+TEST_CASE("a connection is used again after a chunked response")
+{
+    ScriptedServer server(respondAlways("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                        "4;a=b\r\nbody\r\n0\r\nX: y\r\n\r\n"));
+    EntryFixture fixture({server.address()});
+    for (int i = 0; i < 3; ++i) {
+        CHECK(contains(fixture.sendAndReceive(requestText("GET", "/s/lessons/x")), "4\r\nbody\r\n0\r\n\r\n"));
+    }
+    CHECK(server.requests().size() == 3);
+    CHECK(server.connections() == 1);
+}
+
 // Guards against a read that fails because one server sends broken heads.
 TEST_CASE("a read whose first server sends a broken head is tried on another server")
 {
--- a/tests/test_http.cpp
+++ b/tests/test_http.cpp
@@ -133,6 +133,17 @@
     CHECK_FALSE(parser.head().keepAlive);
 }
 
+// Guards against a peer that fills the memory with a line that never ends.
+TEST_CASE("a line of chunks or trailers without an end is refused")
+{
+    const std::string start = GENERATE("4;x=", "0\r\nX: ", "4\r\nbody\r\n0;");
+    const auto step = GENERATE(std::size_t(7), std::size_t(100000));
+    CAPTURE(start, step);
+    HttpParser parser(HttpParser::Kind::Response);
+    feedAll(parser, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + start + std::string(70000, 'a'), step);
+    CHECK(parser.failed());
+}
+
 // Guards against request smuggling by a coding that a proxy before this one may read in another way.
 TEST_CASE("empty list elements beside the coding of a request are refused")
 {
