--- a/apps/client.cpp
+++ b/apps/client.cpp
@@ -15,8 +15,7 @@
 namespace
 {
 
-// Delay between rounds of attempts at all control hosts, which can be without a leader: an election takes less than 2
-// s.
+// Delay between rounds of attempts at all control hosts, which can be without a leader for less than 2 s.
 constexpr milliseconds retryDelay{200};
 
 std::string stringField(const google::protobuf::Struct &object, const std::string &name)
--- a/control/leader.h
+++ b/control/leader.h
@@ -21,8 +21,8 @@
     ~LeaderClient();
 
     // Proposes a command and retries with the same change id until the deadline. Returns ERROR_UNAVAILABLE when no
-    // leader confirmed it in time. Whether it will be applied is then unknown; a resend with the same change id is
-    // safe.
+    // leader confirmed it in time. Whether it will be applied is then unknown, and it may be resent with the same
+    // change id.
     proto::CommandResult propose(const proto::Command &command, Time deadline);
 
     // Adds or removes a control host, with retries as for propose(). After ERROR_UNAVAILABLE the caller need not send
--- a/control/members.h
+++ b/control/members.h
@@ -17,8 +17,7 @@
 // table, new pool owners reserve the slots that it may still use.
 constexpr Duration goneMemberRetention = withDrift(maxDeadline);
 
-// A longer gap between two runs of the leader's loop counts as a pause of the process. The runs are normally 25 ms
-// apart.
+// A longer gap between two runs of the leader's loop, normally 25 ms, counts as a pause of the process.
 constexpr milliseconds loopPauseThreshold{500};
 
 // What the leader knows about the Sync calls of one host.
@@ -56,8 +55,7 @@
 // Records that a call is no longer outstanding, because it was refused or answered.
 void recordCallEnd(Liveness &liveness, const proto::SyncRequest &request);
 
-// Records the end of a call that was answered, which proves to the host that its table was current when the call
-// arrived.
+// Records the end of a call that was answered: it proves to the host that its table was current at the time `arrived`.
 void recordAnswer(Liveness &liveness, const proto::SyncRequest &request, Time arrived);
 
 // Returns the member to store for a call, or nullopt when the table already holds it. A host that announces that it
--- a/control/peers.cpp
+++ b/control/peers.cpp
@@ -29,8 +29,7 @@
 // commit among distant members would take several round trips instead of one.
 constexpr std::size_t maxActiveCalls = 8;
 
-// Messages kept for a member while no further call may start. The oldest are dropped first, because Raft sends them
-// again.
+// Messages kept for a member while no further call may start. The oldest are dropped first; Raft sends them again.
 constexpr std::size_t maxQueuedMessages = 256;
 
 // The same by encoded size in bytes. The newest message stays in any case, because a snapshot may be larger.
--- a/control/peers.h
+++ b/control/peers.h
@@ -24,8 +24,8 @@
     void learnAddress(const std::string &id, const std::string &address);
 
     // Sends a message in a call of its own, or together with others once one of several outstanding calls has ended.
-    // Messages may arrive in another order. A message to a host without a known address is counted and dropped, which
-    // Raft tolerates.
+    // Messages may arrive in another order. Raft tolerates this, and that a message to a host without a known address
+    // is counted and dropped.
     void send(const proto::RaftMessage &message);
 
     // Drops the queued messages, cancels the outstanding calls and waits until they have ended.
--- a/control/platform.h
+++ b/control/platform.h
@@ -15,8 +15,7 @@
 namespace banyanledge
 {
 
-// A backend server that is missing from the list is removed after this time; the list lags and may omit a host for
-// some polls.
+// A backend server that is missing from the list is removed after this time; the list may omit a host for some polls.
 constexpr milliseconds removalDelay{30000};
 
 // The parsed list: backend servers by id, and whether each entry host is leaving, by id.
--- a/tests/test_entry.cpp
+++ b/tests/test_entry.cpp
@@ -146,8 +146,8 @@
     CHECK(server.requests().empty());
 }
 
-// A request that waited for an owner which could not act either was refused only at its deadline. The grants that
-// arrive after the refusal must be returned.
+// An owner without a lease grants nothing, so a request that waited for it was refused only at its deadline. Grants
+// that arrive after the refusal must be returned.
 TEST_CASE("a request that waits is refused when its key is withdrawn or the lease lapses")
 {
     using Step = EntryFixture::Step;
