--- a/control/processreports.h
+++ b/control/processreports.h
@@ -11,7 +11,7 @@
 {
 
 // Time in which a host's second report that a server ended counts only together with that of another host. A host that
-// alone is refused by a server, for example behind a firewall, must not repeatedly make all hosts take the server for ended.
+// alone is refused by a server, for example behind a firewall, must not make all hosts take it for ended repeatedly.
 constexpr milliseconds repeatedEndTime{10000};
 
 class ProcessReports
