Tests: a relay that holds bytes back as a cut link does

Bytes, new connections and the end of a connection wait in Relay::hold() until Relay::release(), which delivers them as TCP does: the oldest bytes alone, the others a round trip later. RelayThread moves out of test_follower, so that other tests can use it.

--- a/tests/control_group.h
+++ b/tests/control_group.h
@@ -89,6 +89,11 @@
         return *m_hosts.at(number).host;
     }
 
+    const std::string &address(int number) const
+    {
+        return m_addresses.at(number);
+    }
+
     // Returns the state that a running host reports; empty if it doesn't answer.
     proto::ControlStatus status(int number) const
     {
--- a/tests/relay.cpp
+++ b/tests/relay.cpp
@@ -6,6 +6,9 @@
 namespace
 {
 
+// Time until the oldest bytes that a link has held back are acknowledged.
+constexpr std::chrono::milliseconds resendRoundTrip{25};
+
 asio::ip::tcp::endpoint parseEndpoint(const std::string &address)
 {
     const auto colon = address.rfind(':');
@@ -83,10 +86,51 @@
     m_sessions.clear();
 }
 
+void Relay::hold()
+{
+    m_held = true;
+}
+
+void Relay::release()
+{
+    m_held = false;
+    for (const SessionPtr &session : std::exchange(m_heldConnects, {})) {
+        connect(session);
+    }
+    const auto sessions = m_sessions; // a session that has ended is removed when its bytes are written
+    for (const SessionPtr &session : sessions) {
+        for (Direction *direction : {&session->toTarget, &session->toClient}) {
+            delayAllButOldest(*direction);
+            write(session, *direction);
+        }
+    }
+}
+
+// TCP sends the oldest segment again alone, and the others when that one is acknowledged.
+void Relay::delayAllButOldest(Direction &direction)
+{
+    const auto acknowledged = std::chrono::steady_clock::now() + resendRoundTrip;
+    for (std::size_t i = 1; i < direction.chunks.size(); ++i) {
+        direction.chunks[i].due = std::max(direction.chunks[i].due, acknowledged);
+    }
+}
+
 void Relay::close(const SessionPtr &session)
 {
     session->close();
     m_sessions.erase(session);
+    m_heldConnects.erase(session);
+}
+
+// A sender that resets its connection takes back the bytes that wait; one that closes it does not.
+void Relay::onEnd(const SessionPtr &session, Direction &direction, const asio::error_code &error)
+{
+    if (error != asio::error::eof) {
+        close(session);
+        return;
+    }
+    direction.ended = true;
+    write(session, direction);
 }
 
 void Relay::accept()
@@ -100,7 +144,9 @@
         m_sessions.insert(session);
         session->connectTimer.expires_after(2 * m_oneWayDelay);
         session->connectTimer.async_wait([this, session](const asio::error_code &cancelled) {
-            if (!cancelled) {
+            if (!cancelled && m_held) {
+                m_heldConnects.insert(session);
+            } else if (!cancelled) {
                 connect(session);
             }
         });
@@ -127,7 +173,7 @@
     direction.from.async_read_some(asio::buffer(direction.buffer),
                                    [this, session, &direction](const asio::error_code &error, std::size_t size) {
                                        if (error) {
-                                           close(session);
+                                           onEnd(session, direction, error);
                                            return;
                                        }
                                        if (!m_partitioned && !session->silent) {
@@ -154,7 +200,13 @@
 
 void Relay::write(const SessionPtr &session, Direction &direction)
 {
-    if (direction.writing || direction.chunks.empty()) {
+    if (direction.writing || m_held) {
+        return;
+    }
+    if (direction.chunks.empty()) {
+        if (direction.ended) {
+            close(session);
+        }
         return;
     }
     direction.writing = true;
@@ -163,6 +215,10 @@
         if (cancelled) {
             return;
         }
+        if (m_held) {
+            direction.writing = false;
+            return;
+        }
         asio::async_write(direction.to, asio::buffer(direction.chunks.front().bytes),
                           [this, session, &direction](const asio::error_code &error, std::size_t) {
                               if (error) {
@@ -176,4 +232,31 @@
     });
 }
 
+RelayThread::RelayThread(const std::string &target)
+    : m_relay(m_loop, "127.0.0.1:0", target)
+    , m_thread([this] { m_loop.run(); })
+{
+}
+
+RelayThread::~RelayThread()
+{
+    m_loop.stop();
+    m_thread.join();
+}
+
+std::string RelayThread::address() const
+{
+    return m_relay.address();
+}
+
+void RelayThread::change(const std::function<void(Relay &)> &function)
+{
+    std::promise<void> done;
+    asio::post(m_loop, [&] {
+        function(m_relay);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
 } // namespace banyanledge::standin
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -5,9 +5,12 @@
 #include <array>
 #include <chrono>
 #include <deque>
+#include <functional>
+#include <future>
 #include <memory>
 #include <set>
 #include <string>
+#include <thread>
 
 #include <asio.hpp>
 
@@ -38,6 +41,12 @@
     // Forwards again. Closes all connections, because bytes may be missing on them; both ends have to reconnect.
     void heal();
 
+    // Keeps all received bytes and new connections from now on, as the hosts do whose link is cut, until release()
+    // delivers them as TCP does: the oldest bytes first, the others a round trip later. The end of a connection waits
+    // behind its bytes.
+    void hold();
+    void release();
+
 private:
     // Bytes on their way, and the time at which they arrive.
     struct Chunk
@@ -57,6 +66,7 @@
         std::array<char, 16384> buffer{};
         std::deque<Chunk> chunks;
         bool writing = false;
+        bool ended = false; // the sender has closed its side
     };
 
     // One relayed connection.
@@ -78,6 +88,8 @@
     void accept();
     void connect(const SessionPtr &session);
     void close(const SessionPtr &session);
+    static void delayAllButOldest(Direction &direction);
+    void onEnd(const SessionPtr &session, Direction &direction, const asio::error_code &error);
 
     // Reads from one socket until either fails, then closes the session.
     void read(const SessionPtr &session, Direction &direction);
@@ -97,6 +109,29 @@
     std::chrono::steady_clock::time_point
         m_linkFreeAt; // when the link to the clients has carried all bytes read so far
     bool m_partitioned = false;
+    bool m_held = false;
+    std::set<SessionPtr> m_heldConnects; // accepted while bytes are held
+};
+
+// Relay on a thread of its own.
+class RelayThread
+{
+public:
+    explicit RelayThread(const std::string &target);
+    ~RelayThread();
+    RelayThread(const RelayThread &) = delete;
+    RelayThread &operator=(const RelayThread &) = delete;
+
+    std::string address() const;
+
+    // Calls a function on the relay's thread and waits for its end.
+    void change(const std::function<void(Relay &)> &function);
+
+private:
+    asio::io_context m_loop;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work{m_loop.get_executor()};
+    Relay m_relay;
+    std::thread m_thread;
 };
 
 } // namespace banyanledge::standin
--- a/tests/test_follower.cpp
+++ b/tests/test_follower.cpp
@@ -113,45 +113,6 @@
     std::unique_ptr<grpc::Server> m_server;
 };
 
-// Relay on a thread of its own.
-class RelayThread
-{
-public:
-    explicit RelayThread(const std::string &target)
-        : m_relay(m_loop, "127.0.0.1:0", target)
-        , m_thread([this] { m_loop.run(); })
-    {
-    }
-    ~RelayThread()
-    {
-        m_loop.stop();
-        m_thread.join();
-    }
-    RelayThread(const RelayThread &) = delete;
-    RelayThread &operator=(const RelayThread &) = delete;
-
-    std::string address() const
-    {
-        return m_relay.address();
-    }
-
-    void change(const std::function<void(standin::Relay &)> &function)
-    {
-        std::promise<void> done;
-        asio::post(m_loop, [&] {
-            function(m_relay);
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
-private:
-    asio::io_context m_loop;
-    asio::executor_work_guard<asio::io_context::executor_type> m_work{m_loop.get_executor()};
-    standin::Relay m_relay;
-    std::thread m_thread;
-};
-
 // Bound on the time from a change of the table until a gateway has it.
 constexpr milliseconds changeBound{2500};
 
@@ -258,7 +219,7 @@
 {
     FakeControl control;
     control.tableBytes = 50000;
-    RelayThread relay(control.address());
+    standin::RelayThread relay(control.address());
     relay.change([](standin::Relay &link) { link.limitBytesToClients(25000); });
     ControlClient controlClient({localMember(), {relay.address()}, {}, {}, {}, false, true});
     const Time begun = Clock::now();
@@ -311,13 +272,13 @@
 {
     FakeControl leader;
     std::vector<std::unique_ptr<FakeControl>> others;
-    std::vector<std::unique_ptr<RelayThread>> relays;
-    relays.push_back(std::make_unique<RelayThread>(leader.address()));
+    std::vector<std::unique_ptr<standin::RelayThread>> relays;
+    relays.push_back(std::make_unique<standin::RelayThread>(leader.address()));
     for (int i = 0; i < 2; ++i) {
         others.push_back(std::make_unique<FakeControl>());
         others.back()->leader = false;
         others.back()->leaderAddress = relays.front()->address();
-        relays.push_back(std::make_unique<RelayThread>(others.back()->address()));
+        relays.push_back(std::make_unique<standin::RelayThread>(others.back()->address()));
     }
     std::vector<std::string> addresses;
     addresses.reserve(relays.size());
