--- a/control/api.cpp
+++ b/control/api.cpp
@@ -147,7 +147,8 @@
              "the header Banyanledge-Change-Id is too long or holds spaces, control or non-ASCII characters"},
             "use at most 128 printable ASCII characters without spaces");
     }
-    ApiContext context{request, options, leader, {}, *name, changeId, Clock::now() + options.timeout};
+    ApiContext context{
+        request, options, leader, {}, *name, changeId, {request.arrived + options.timeout, request.isConnected}};
     return dispatchAndLog(context);
 }
 
--- a/control/api.h
+++ b/control/api.h
@@ -27,6 +27,8 @@
     std::string authorization;
     std::string changeId; // header Banyanledge-Change-Id; empty: one is generated
     std::string body;
+    Time arrived = Clock::now(); // when the request was received
+    std::function<bool()> isConnected; // whether its client still waits; empty: it always does
 };
 
 struct ApiResponse
--- a/control/declarations.cpp
+++ b/control/declarations.cpp
@@ -42,12 +42,12 @@
     return result;
 }
 
-proto::CommandResult Declarations::evacuate(const std::string &zone, bool active, milliseconds timeout)
+proto::CommandResult Declarations::evacuate(const std::string &zone, bool active, const OrderCaller &caller)
 {
     proto::Command command = operatorCommand();
     command.mutable_set_evacuation()->set_availability_zone(zone);
     command.mutable_set_evacuation()->set_active(active);
-    auto result = m_leader.propose(command, Clock::now() + timeout);
+    auto result = m_leader.proposeOrder(command, caller);
     logResult(active ? "start of evacuation proposed" : "end of evacuation proposed", zone, result);
     return result;
 }
--- a/control/declarations.h
+++ b/control/declarations.h
@@ -22,8 +22,8 @@
     // version. ERROR_UNAVAILABLE means that the outcome is unknown; the same declaration may be sent again.
     proto::CommandResult put(const proto::Declaration &declaration, milliseconds timeout);
 
-    // Starts (`active`) or ends the evacuation of an availability zone. Returns results as put() does.
-    proto::CommandResult evacuate(const std::string &zone, bool active, milliseconds timeout);
+    // Starts (`active`) or ends the evacuation of an availability zone, as LeaderClient::proposeOrder() does.
+    proto::CommandResult evacuate(const std::string &zone, bool active, const OrderCaller &caller);
 
     // Returns the declaration in force, confirmed by a quorum after the call began; version 0 when there is none.
     // Returns nullopt, with the reason in lastError(), when no quorum confirms it in time.
--- a/control/join.cpp
+++ b/control/join.cpp
@@ -94,7 +94,7 @@
     proto::ChangeMembersRequest request;
     request.mutable_member()->set_id(ownAddress);
     request.mutable_member()->set_rpc_address(ownAddress);
-    logOutcome(client.changeMember(request, now + joinTimeout), now);
+    logOutcome(client.changeMember(request, {now + joinTimeout, {}}), now);
 }
 
 // A host that can't reach its group repeats the request for as long as that lasts, so that not each outcome is logged.
@@ -121,12 +121,7 @@
     request.mutable_member()->set_id(ownAddress);
     request.set_remove(true);
     request.set_leaving(true);
-    proto::CommandResult result = leader.changeMember(request, deadline);
-    // Another change of members may still be on its way, such as the first entry of the new leader.
-    while (result.kind() == proto::ERROR_CONFLICT && Clock::now() < deadline) {
-        std::this_thread::sleep_for(leaveInterval);
-        result = leader.changeMember(request, deadline);
-    }
+    const proto::CommandResult result = leader.changeMember(request, {deadline, {}});
     logInfo("asked to leave the control group",
             {{"led", led ? "yes" : "no"}, {"result", kindName(result.kind())}, {"message", result.message()}});
 }
--- a/control/leader.cpp
+++ b/control/leader.cpp
@@ -36,6 +36,14 @@
     return reply;
 }
 
+proto::CommandResult notSent(const std::string &reason)
+{
+    proto::CommandResult result;
+    result.set_kind(proto::ERROR_UNAVAILABLE);
+    result.set_message(reason + ", so the change was not sent and is not in force");
+    return result;
+}
+
 } // namespace
 
 class LeaderClient::Private
@@ -61,6 +69,11 @@
               Reply &reply, Time deadline);
 };
 
+bool OrderCaller::isWaiting(Time now) const
+{
+    return now < deadline && (!isConnected || isConnected());
+}
+
 std::string LeaderClient::Private::nextAddress() const
 {
     const std::string leader = leaderAddress();
@@ -140,19 +153,48 @@
     if (!d->call(&Stub::Propose, command, reply, deadline)) {
         reply.mutable_result()->set_kind(proto::ERROR_UNAVAILABLE);
         reply.mutable_result()->set_message(
-            "no control leader confirmed the change in time, so it is unknown whether it is in force");
+            "no control leader confirmed the change in time, so it is unknown whether it is in force (it cannot come "
+            "into force any more once a newer change of the same object is acknowledged)");
     }
     return reply.result();
 }
 
-proto::CommandResult LeaderClient::changeMember(const proto::ChangeMembersRequest &request, Time deadline)
+// The revision is read after the order arrived and before the caller is asked for: a newer order that the caller sends
+// elsewhere once it waits no more is decided at a higher revision.
+proto::CommandResult LeaderClient::proposeOrder(proto::Command command, const OrderCaller &caller)
 {
-    proto::ProposeReply reply;
-    if (!d->call(&Stub::ChangeMembers, request, reply, deadline)) {
-        reply.mutable_result()->set_kind(proto::ERROR_UNAVAILABLE);
-        reply.mutable_result()->set_message("no control leader confirmed the change of the control group in time");
+    const auto revision = newestRevision(caller.deadline);
+    if (!revision) {
+        return notSent("no control leader confirmed the newest revision in time");
     }
-    return reply.result();
+    if (!caller.isWaiting(Clock::now())) {
+        return notSent("the caller waits no more");
+    }
+    command.set_seen_revision(*revision);
+    return propose(command, caller.deadline);
+}
+
+proto::CommandResult LeaderClient::changeMember(proto::ChangeMembersRequest request, const OrderCaller &caller)
+{
+    proto::CommandResult result = notSent("no control leader confirmed the newest revision in time");
+    while (caller.isWaiting(Clock::now())) {
+        const auto revision = newestRevision(caller.deadline);
+        if (!revision || !caller.isWaiting(Clock::now())) {
+            break;
+        }
+        request.set_seen_revision(*revision);
+        proto::ProposeReply reply;
+        if (!d->call(&Stub::ChangeMembers, request, reply, caller.deadline)) {
+            reply.mutable_result()->set_kind(proto::ERROR_UNAVAILABLE);
+            reply.mutable_result()->set_message("no control leader confirmed the change of the control group in time");
+        }
+        result = reply.result();
+        if (result.kind() != proto::ERROR_CONFLICT) {
+            break;
+        }
+        std::this_thread::sleep_for(retryInterval);
+    }
+    return result;
 }
 
 proto::ReadReply LeaderClient::read(const proto::ReadRequest &request, Time deadline)
@@ -165,6 +207,14 @@
     return reply;
 }
 
+std::optional<Revision> LeaderClient::newestRevision(Time deadline)
+{
+    proto::ReadRequest request;
+    request.set_revision_only(true);
+    const proto::ReadReply reply = read(request, deadline);
+    return reply.kind() == proto::ERROR_NONE ? std::optional(reply.content().revision()) : std::nullopt;
+}
+
 proto::ControlStatus LeaderClient::status(Time deadline)
 {
     proto::ControlStatus reply;
--- a/control/leader.h
+++ b/control/leader.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/types.h"
@@ -10,6 +11,15 @@
 namespace banyanledge
 {
 
+// The caller that waits for the outcome of an order. Once it waits no more, it may have sent a newer order elsewhere.
+struct OrderCaller
+{
+    Time deadline; // of the answer
+    std::function<bool()> isConnected; // called from any thread; empty if the caller can't disconnect
+
+    bool isWaiting(Time now) const;
+};
+
 // Methods may be called from any thread.
 class LeaderClient
 {
@@ -25,13 +35,22 @@
     // change id.
     proto::CommandResult propose(const proto::Command &command, Time deadline);
 
-    // Adds or removes a control host, with retries as for propose(). After ERROR_UNAVAILABLE the caller need not send
-    // it again to learn the outcome, because the members are visible in the status.
-    proto::CommandResult changeMember(const proto::ChangeMembersRequest &request, Time deadline);
+    // Proposes a command as an order that never follows a newer one on the same subject: reads the newest revision,
+    // which the command then names as the one that it was decided on, and proposes it only while the caller waits.
+    // Returns ERROR_CONFLICT when a newer order was acknowledged meanwhile; the command is then not in force. After
+    // ERROR_UNAVAILABLE the message says whether it may be.
+    proto::CommandResult proposeOrder(proto::Command command, const OrderCaller &caller);
+
+    // Adds or removes a control host as an order. Each attempt names a newer revision, because a repeated change has no
+    // change id. Repeats also after ERROR_CONFLICT, while the caller waits.
+    proto::CommandResult changeMember(proto::ChangeMembersRequest request, const OrderCaller &caller);
 
     // Performs a linearizable read. `kind` of the reply is ERROR_UNAVAILABLE when no leader answered in time.
     proto::ReadReply read(const proto::ReadRequest &request, Time deadline);
 
+    // Returns the revision of the newest committed entry. Returns nullopt when no leader confirmed it in time.
+    std::optional<Revision> newestRevision(Time deadline);
+
     // Returns the state of the leader, requested once without retries. The id is empty when the leader did not answer.
     proto::ControlStatus status(Time deadline);
 
--- a/control/operatorserver.cpp
+++ b/control/operatorserver.cpp
@@ -4,7 +4,10 @@
 #include <asio/thread_pool.hpp>
 #include <restinio/all.hpp>
 
+#include <atomic>
 #include <condition_variable>
+#include <map>
+#include <memory>
 #include <mutex>
 
 namespace banyanledge
@@ -13,7 +16,48 @@
 namespace
 {
 
-using HttpServer = restinio::running_server_instance_t<restinio::http_server_t<restinio::default_traits_t>>;
+// Knows which connections are open, so that an order is not sent on for a client that waits no more. Used on the HTTP
+// thread only; the flags that it hands out may be read on any thread.
+class OpenConnections
+{
+public:
+    using Flag = std::shared_ptr<std::atomic<bool>>;
+
+    // Returns a flag that is true for as long as the connection is open.
+    Flag flag(restinio::connection_id_t id)
+    {
+        Flag &found = m_flags[id];
+        if (!found) {
+            found = std::make_shared<std::atomic<bool>>(true);
+        }
+        return found;
+    }
+
+    // Called by RESTinio.
+    void state_changed(const restinio::connection_state::notice_t &notice)
+    {
+        const auto cause = notice.cause();
+        const auto found = m_flags.find(notice.connection_id());
+        if (restinio::holds_alternative<restinio::connection_state::closed_t>(cause) && found != m_flags.end()) {
+            *found->second = false;
+            m_flags.erase(found);
+        }
+    }
+
+private:
+    std::map<restinio::connection_id_t, Flag> m_flags;
+};
+
+struct ServerTraits : restinio::default_traits_t
+{
+    using connection_state_listener_t = OpenConnections;
+};
+
+using HttpServer = restinio::running_server_instance_t<restinio::http_server_t<ServerTraits>>;
+
+// RESTinio reads from a connection while a response is pending, and so sees its end, only if one more request may
+// follow.
+constexpr std::size_t maxPipelinedRequests = 2;
 
 // Requests wait for the leader on these threads, so that they don't block the HTTP thread.
 constexpr std::size_t workerThreads = 4;
@@ -71,9 +115,10 @@
     return apiRequest;
 }
 
-void respond(Api &api, const restinio::request_handle_t &request, RequestCounter &activeRequests)
+void respond(Api &api, const ApiRequest &apiRequest, const restinio::request_handle_t &request,
+             RequestCounter &activeRequests)
 {
-    const ApiResponse response = api.handle(toApiRequest(*request));
+    const ApiResponse response = api.handle(apiRequest);
     auto builder = request->create_response(
         restinio::http_status_line_t{restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)},
                                      response.status < 400 ? "OK" : "Refused"});
@@ -92,6 +137,7 @@
 {
 public:
     RequestCounter activeRequests;
+    const std::shared_ptr<OpenConnections> connections = std::make_shared<OpenConnections>();
     asio::thread_pool pool{workerThreads};
     std::unique_ptr<HttpServer> server;
 };
@@ -115,16 +161,22 @@
     auto priv = std::make_unique<Private>();
     const auto handler = [&api, d = priv.get()](const restinio::request_handle_t &request) {
         d->activeRequests.begin();
-        asio::post(d->pool, [&api, d, request] { respond(api, request, d->activeRequests); });
+        ApiRequest apiRequest = toApiRequest(*request);
+        apiRequest.isConnected = [open = d->connections->flag(request->connection_id())] { return open->load(); };
+        asio::post(d->pool, [&api, d, request, apiRequest = std::move(apiRequest)] {
+            respond(api, apiRequest, request, d->activeRequests);
+        });
         return restinio::request_accepted();
     };
     try {
-        priv->server = restinio::run_async<restinio::default_traits_t>(
+        priv->server = restinio::run_async<ServerTraits>(
             restinio::own_io_context(),
-            restinio::server_settings_t<restinio::default_traits_t>{}
+            restinio::server_settings_t<ServerTraits>{}
                 .address(address.substr(0, colon))
                 .port(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))))
                 .handle_request_timeout(std::chrono::seconds(30))
+                .max_pipelined_requests(maxPipelinedRequests)
+                .connection_state_listener(priv->connections)
                 .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}.max_body_size(maxReadBodyBytes))
                 .request_handler(handler),
             1);
--- a/control/platform.cpp
+++ b/control/platform.cpp
@@ -165,6 +165,7 @@
         } else if (!stored.leaving()) {
             proto::Server leaving = stored;
             leaving.set_leaving(true);
+            leaving.set_started_ms(0); // the list says nothing of its process
             commands.push_back(putServerCommand(leaving));
         }
     }
--- a/control/routes.cpp
+++ b/control/routes.cpp
@@ -101,14 +101,14 @@
 
 ApiResponse propose(const ApiContext &context, const proto::Command &command, const std::string &extraFields = {})
 {
-    return resultResponse(context, context.leader.propose(command, context.deadline), extraFields);
+    return resultResponse(context, context.leader.proposeOrder(command, context.caller), extraFields);
 }
 
 // Reads the table and returns the part that `select` moves to its second argument.
 template<typename Select>
 ApiResponse selectFromTable(const ApiContext &context, Select select)
 {
-    proto::ReadReply reply = context.leader.read({}, context.deadline);
+    proto::ReadReply reply = context.leader.read({}, context.caller.deadline);
     if (reply.kind() != proto::ERROR_NONE) {
         return refusalResponse(reply.kind(), reply.message());
     }
@@ -163,7 +163,7 @@
 // Whether the table holds the key with this digest.
 bool holdsDigest(const ApiContext &context, const proto::IssueKey &issue)
 {
-    const proto::ReadReply reply = context.leader.read({}, context.deadline);
+    const proto::ReadReply reply = context.leader.read({}, context.caller.deadline);
     const auto &keys = reply.content().keys();
     return std::any_of(keys.begin(), keys.end(), [&issue](const proto::Key &key) {
         return key.id() == issue.id() && key.digest() == issue.digest();
@@ -188,7 +188,7 @@
     }
     const std::string key = randomKey();
     issue.set_digest(sha256(key));
-    const auto result = context.leader.propose(command, context.deadline);
+    const auto result = context.leader.proposeOrder(command, context.caller);
     // A repeated result with this digest comes from a retry of the proposal above, so the key is in force.
     if (result.kind() == proto::ERROR_NONE && result.repeated() && !holdsDigest(context, issue)) {
         return errorResponse(
@@ -295,34 +295,41 @@
     return propose(context, command, ",\"id\":" + jsonString(shift.id()));
 }
 
-// The step may advance between the read and the change, so the change is tried again on a conflict.
+// The step of the shift in the table; 0 without such a shift.
+double shiftStep(const proto::TableContent &content, const std::string &id)
+{
+    const auto &shifts = content.shifts();
+    const auto found =
+        std::find_if(shifts.begin(), shifts.end(), [&id](const proto::Shift &shift) { return shift.id() == id; });
+    return found == shifts.end() ? 0 : found->step();
+}
+
+// The step may advance between the read and the change, so the change is tried again on a conflict. A shift that does
+// not exist is cancelled too: the table refuses that, and an older order that starts the shift can't follow.
 ApiResponse cancelShift(const ApiContext &context)
 {
     constexpr int maxAttempts = 5;
     const std::string &id = context.pathParameters[0];
     proto::CommandResult result;
     for (int i = 0; i < maxAttempts; ++i) {
-        const proto::ReadReply reply = context.leader.read({}, context.deadline);
+        const proto::ReadReply reply = context.leader.read({}, context.caller.deadline);
         if (reply.kind() != proto::ERROR_NONE) {
             return refusalResponse(reply.kind(), reply.message());
         }
-        const auto &shifts = reply.content().shifts();
-        const auto found =
-            std::find_if(shifts.begin(), shifts.end(), [&id](const proto::Shift &shift) { return shift.id() == id; });
-        if (found == shifts.end()) {
-            return errorResponse(404, {proto::ERROR_NOT_FOUND, "there is no shift " + id},
-                                 defaultRemedy(proto::ERROR_NOT_FOUND));
+        if (!context.caller.isWaiting(Clock::now())) {
+            return refusalResponse(proto::ERROR_UNAVAILABLE, "the time of the request has passed");
         }
         proto::Command command = newCommand(context);
         // A refused attempt has used its change id, so later attempts append their number.
         command.set_change_id(context.changeId + (i > 0 ? "-" + std::to_string(i) : ""));
+        command.set_seen_revision(reply.content().revision());
         auto &advance = *command.mutable_advance_shift();
         advance.set_id(id);
-        advance.set_from_step(found->step());
-        advance.set_step(found->step());
+        advance.set_from_step(shiftStep(reply.content(), id));
+        advance.set_step(advance.from_step());
         advance.set_state(proto::SHIFT_CANCELLED);
         advance.set_reason("cancelled by " + context.actor);
-        result = context.leader.propose(command, context.deadline);
+        result = context.leader.propose(command, context.caller.deadline);
         if (result.kind() != proto::ERROR_CONFLICT) {
             break;
         }
@@ -334,7 +341,7 @@
 ApiResponse showStatus(const ApiContext &context)
 {
     proto::ControlStatus status = context.options.ownStatus();
-    proto::ControlStatus leaderStatus = context.leader.status(context.deadline);
+    proto::ControlStatus leaderStatus = context.leader.status(context.caller.deadline);
     status.mutable_hosts()->Swap(leaderStatus.mutable_hosts());
     ApiResponse response;
     response.body = toJson(status);
@@ -367,7 +374,7 @@
     request.set_audit(true);
     request.set_audit_after(*after);
     request.set_audit_limit(static_cast<std::uint32_t>(*limit));
-    proto::ReadReply reply = context.leader.read(request, context.deadline);
+    proto::ReadReply reply = context.leader.read(request, context.caller.deadline);
     if (reply.kind() != proto::ERROR_NONE) {
         return refusalResponse(reply.kind(), reply.message());
     }
@@ -384,7 +391,7 @@
         selected.mutable_members()->Swap(content.mutable_members());
     });
     if (response.status == 200) {
-        const auto config = context.leader.status(context.deadline).config();
+        const auto config = context.leader.status(context.caller.deadline).config();
         response.body.insert(response.body.size() - 1, ",\"control\":" + toJson(config));
     }
     return response;
@@ -397,7 +404,7 @@
         return *error;
     }
     request.mutable_member()->set_voter(false); // promoted by the leader once it has caught up
-    return resultResponse(context, context.leader.changeMember(request, context.deadline));
+    return resultResponse(context, context.leader.changeMember(request, context.caller));
 }
 
 ApiResponse removeMember(const ApiContext &context)
@@ -405,7 +412,7 @@
     proto::ChangeMembersRequest request;
     request.mutable_member()->set_id(context.pathParameters[0]);
     request.set_remove(true);
-    return resultResponse(context, context.leader.changeMember(request, context.deadline));
+    return resultResponse(context, context.leader.changeMember(request, context.caller));
 }
 
 } // namespace
--- a/control/routes.h
+++ b/control/routes.h
@@ -19,7 +19,7 @@
     std::vector<std::string> pathParameters; // path segments that match a "*" of the route
     std::string actor;
     std::string changeId;
-    Time deadline;
+    OrderCaller caller; // whom the response is for, and by when
 };
 
 using ApiHandler = ApiResponse (*)(const ApiContext &);
--- a/control/service.cpp
+++ b/control/service.cpp
@@ -101,7 +101,7 @@
     {
         auto *reactor = context->DefaultReactor();
         m_node.changeMember(
-            request->member(), kindOf(*request),
+            request->member(), kindOf(*request), request->seen_revision(),
             [this, reactor, reply](const proto::CommandResult &result) { finishChange(reactor, reply, result); });
         return reactor;
     }
@@ -111,6 +111,11 @@
     {
         auto *reactor = context->DefaultReactor();
         m_node.readIndex([this, reactor, request, reply](std::optional<Revision> revision) {
+            if (revision && request->revision_only()) {
+                reply->mutable_content()->set_revision(*revision);
+                reactor->Finish(grpc::Status::OK);
+                return;
+            }
             // Copying the whole table would block the node's thread for too long.
             asio::post(m_workers, [this, reactor, request, reply, isLeader = revision.has_value()] {
                 fillRead(*request, reply, isLeader);
--- a/control/sync.cpp
+++ b/control/sync.cpp
@@ -69,9 +69,8 @@
                "the call lacks the host id or the incarnation; set self.id and self.incarnation");
         return;
     }
-    if (m_liveness.supersededIncarnations.contains(request.self().incarnation())) {
-        refuse(call, proto::ERROR_CONFLICT,
-               "a later process joined as " + request.self().id() + "; give each host an id of its own");
+    if (isSuperseded(call)) {
+        refuseSuperseded(call);
         return;
     }
     recordArrival(m_liveness, request);
@@ -83,13 +82,18 @@
     m_processReports.recordReport(request, m_objects.servers, now);
     proposeProcessReports();
     m_arrived.push_back(call);
-    if (const auto member = memberUpdate(request, m_objects, m_liveness, now);
-        member && !m_liveness.hosts[request.self().id()].goneProposed) {
-        registerMember(std::prev(m_arrived.end()), *member);
-    }
+    registerIfNeeded(std::prev(m_arrived.end()), now);
     startRound();
 }
 
+void SyncHandler::registerIfNeeded(Calls::iterator call, Time now)
+{
+    const auto member = memberUpdate(call->request, m_objects, m_liveness, now);
+    if (member && !m_liveness.hosts[member->id()].goneProposed) {
+        registerMember(call, *member);
+    }
+}
+
 void SyncHandler::registerMember(Calls::iterator call, const proto::Member &member)
 {
     m_registering.splice(m_registering.end(), m_arrived, call);
@@ -105,18 +109,32 @@
 void SyncHandler::endRegistration(const std::string &host, std::uint64_t incarnation,
                                   const proto::CommandResult &result)
 {
+    const Time now = Clock::now();
+    Calls ended;
     for (auto next = m_registering.begin(); next != m_registering.end();) {
         const auto current = next++;
-        if (current->request.self().id() != host || current->request.self().incarnation() != incarnation) {
-            continue;
+        if (current->request.self().id() == host && current->request.self().incarnation() == incarnation) {
+            ended.splice(ended.end(), m_registering, current);
         }
-        if (result.kind() == proto::ERROR_NONE) {
-            m_arrived.splice(m_arrived.end(), m_registering, current);
-            continue;
+    }
+    while (!ended.empty()) {
+        const Call &call = ended.front();
+        // A newer decision on the member was applied. It may be what the call needs, or a newer process.
+        const bool mayRepeat = result.kind() == proto::ERROR_CONFLICT && leading();
+        if (mayRepeat && isSuperseded(call)) {
+            recordCallEnd(m_liveness, call.request);
+            refuseSuperseded(call);
+            ended.pop_front();
+        } else if (result.kind() == proto::ERROR_NONE || mayRepeat) {
+            m_arrived.splice(m_arrived.end(), ended, ended.begin());
+            if (mayRepeat) {
+                registerIfNeeded(std::prev(m_arrived.end()), now);
+            }
+        } else {
+            recordCallEnd(m_liveness, call.request);
+            refuse(call, result.kind(), result.message());
+            ended.pop_front();
         }
-        recordCallEnd(m_liveness, current->request);
-        refuse(*current, result.kind(), result.message());
-        m_registering.erase(current);
     }
     startRound();
 }
@@ -306,9 +324,8 @@
 void SyncHandler::answer(const Call &call, Time now)
 {
     const proto::Member &self = call.request.self();
-    if (m_liveness.supersededIncarnations.contains(self.incarnation())) {
-        refuse(call, proto::ERROR_CONFLICT,
-               "a later process joined with the same host id; give each host an id of its own instead of " + self.id());
+    if (isSuperseded(call)) {
+        refuseSuperseded(call);
         recordCallEnd(m_liveness, call.request);
         return;
     }
@@ -365,6 +382,17 @@
     return found == m_customers.end() ? nullptr : found->second;
 }
 
+bool SyncHandler::isSuperseded(const Call &call) const
+{
+    return m_liveness.supersededIncarnations.contains(call.request.self().incarnation());
+}
+
+void SyncHandler::refuseSuperseded(const Call &call)
+{
+    refuse(call, proto::ERROR_CONFLICT,
+           "a later process joined as " + call.request.self().id() + "; give each host an id of its own");
+}
+
 void SyncHandler::refuse(const Call &call, proto::ErrorKind kind, const std::string &message)
 {
     proto::SyncReply reply;
@@ -428,6 +456,7 @@
 void SyncHandler::proposeSystem(proto::Command command, const std::function<void(const proto::CommandResult &)> &done)
 {
     command.set_time_ms(wallClockMs());
+    command.set_seen_revision(m_objects.revision);
     m_node.propose(command, [this, id = command.change_id(), done](const proto::CommandResult &result) {
         asio::post(m_loop, [this, id, done, result] {
             refresh(Clock::now());
--- a/control/sync.h
+++ b/control/sync.h
@@ -59,7 +59,8 @@
     FleetLoads &loads();
     RequestBlocks &requestBlocks();
 
-    // Proposes a command from systemCommand() and logs a refusal. `done` is called with the result on the event loop.
+    // Proposes a command from systemCommand(), decided on objects(), and logs a refusal. `done` is called with the
+    // result on the event loop.
     void proposeSystem(proto::Command command, const std::function<void(const proto::CommandResult &)> &done = {});
 
 private:
@@ -71,6 +72,8 @@
     };
     using Calls = std::list<Call>;
 
+    // Registers the member of an arrived call if the table does not show it as the call does.
+    void registerIfNeeded(Calls::iterator call, Time now);
     void registerMember(Calls::iterator call, const proto::Member &member);
     void endRegistration(const std::string &host, std::uint64_t incarnation, const proto::CommandResult &result);
     void proposeProcessReports();
@@ -82,7 +85,9 @@
     void removeGoneMembers(Time now);
     bool shouldHold(const Call &call, Time now) const;
     void answer(const Call &call, Time now);
+    bool isSuperseded(const Call &call) const;
     void refuse(const Call &call, proto::ErrorKind kind, const std::string &message);
+    void refuseSuperseded(const Call &call);
     void refuseAll(const std::string &message);
     const std::string &contentPart(Revision since);
     const std::string &fleetStatePart(Time now);
--- a/ledger/node.cpp
+++ b/ledger/node.cpp
@@ -58,10 +58,10 @@
     d->push(Private::ReadRequest{std::move(done)});
 }
 
-void Node::changeMember(const proto::LogMember &member, MemberChange kind,
+void Node::changeMember(const proto::LogMember &member, MemberChange kind, Revision seenRevision,
                         std::function<void(const proto::CommandResult &)> done)
 {
-    d->push(Private::MemberRequest{member, kind, std::move(done)});
+    d->push(Private::MemberRequest{member, kind, seenRevision, std::move(done)});
 }
 
 void Node::transferLeadership()
--- a/ledger/node.h
+++ b/ledger/node.h
@@ -50,7 +50,9 @@
 
     // Proposes a command. `done` is called once, on the node's thread: with the result after the command was applied,
     // with ERROR_IO when the entry could not be stored, or with ERROR_UNAVAILABLE when this member is not the leader,
-    // or lost leadership or stopped before the outcome was known. A retry with the same change id is then safe.
+    // or lost leadership or stopped before the outcome was known. A retry with the same change id is then safe. A
+    // command with a seen revision gets ERROR_CONFLICT, and is not appended, when a newer decision on one of its
+    // subjects was applied since (see ledger/subjects.h).
     void propose(const proto::Command &command, std::function<void(const proto::CommandResult &)> done);
 
     // Requests a linearizable read. Calls `done` on the node's thread with the applied revision, after a quorum has
@@ -59,8 +61,10 @@
     void readIndex(std::function<void(std::optional<Revision>)> done);
 
     // Changes one member. Only one change may be in progress at a time. A new member is added as a learner; the leader
-    // promotes it to voter once it has synced every committed entry. `done` is called as for propose().
-    void changeMember(const proto::LogMember &member, MemberChange kind,
+    // promotes it to voter once it has synced every committed entry. `done` is called as for propose(), with
+    // ERROR_EXISTS or ERROR_NOT_FOUND once it is committed that the member stays as it is. `seenRevision` is that of
+    // the state on which the change was decided; 0: not checked.
+    void changeMember(const proto::LogMember &member, MemberChange kind, Revision seenRevision,
                       std::function<void(const proto::CommandResult &)> done);
 
     // Hands over leadership if this member leads, see Raft::transferLeadership().
--- a/ledger/nodeloop.cpp
+++ b/ledger/nodeloop.cpp
@@ -136,6 +136,7 @@
         processOutput(now);
     }
     failPending(0, unknownOutcome());
+    failWaitingOrders(unknownOutcome());
     for (auto &[id, done] : pendingReads) {
         done(std::nullopt);
     }
@@ -168,24 +169,14 @@
             raft.step(*message, now);
         }
     } else if (auto *proposal = std::get_if<Proposal>(&input)) {
-        const auto index = raft.propose(proposal->command);
-        if (index) {
-            pending[*index] = {raft.term(), std::move(proposal->done)};
-        } else {
-            proposal->done(errorResult(lastError().kind, lastError().message));
-        }
+        handleOrder(*proposal);
     } else if (auto *read = std::get_if<ReadRequest>(&input)) {
         pendingReads[nextReadId] = std::move(read->done);
         raft.read(nextReadId++);
     } else if (std::holds_alternative<Handover>(input)) {
         raft.transferLeadership(now);
     } else if (auto *change = std::get_if<MemberRequest>(&input)) {
-        const auto index = raft.changeMember(change->member, change->kind);
-        if (index) {
-            pending[*index] = {raft.term(), std::move(change->done)};
-        } else {
-            change->done(errorResult(lastError().kind, lastError().message));
-        }
+        handleOrder(*change);
     } else if (auto *stored = std::get_if<SnapshotStored>(&input)) {
         snapshotRunning = false;
         nextSnapshotTime = stored->index > 0 ? now : now + snapshotRetryInterval;
@@ -209,9 +200,10 @@
 {
     const auto before = std::make_pair(raft.role(), raft.term());
     for (;;) {
+        applyCommitted();
+        handleWaitingOrders();
         auto output = raft.output(now);
         if (output.empty()) {
-            applyCommitted();
             break;
         }
         // Heartbeats depend on nothing that is not stored yet, and must not wait for a slow disk.
@@ -230,7 +222,6 @@
                 }
             });
         }
-        applyCommitted();
         for (const auto &read : output.reads) {
             auto done = std::move(pendingReads.extract(read.id).mapped());
             if (read.index) {
@@ -244,6 +235,7 @@
     completeReads();
     if (raft.role() != Raft::Role::Leader) {
         failPending(0, unknownOutcome());
+        orderGuard.truncateAfter(0);
     }
     if (changed || before != std::make_pair(raft.role(), raft.term())) {
         notifyChange();
@@ -266,6 +258,7 @@
         countMetric("banyanledge_raft_store_failures_total");
         raft.persistFailed(now);
         failPending(raft.log().lastIndex(), errorResult(error.kind, error.message));
+        orderGuard.truncateAfter(raft.log().lastIndex());
         return false;
     }
     raft.persisted(now);
@@ -328,17 +321,22 @@
                 table.advance(index);
                 result.set_revision(index);
             }
+            if (!entry.decided_member().empty()) {
+                table.recordDecision(controlMemberSubject(entry.decided_member()));
+            }
             if (entry.has_config()) {
                 appliedConfig = entry.config();
             }
             appliedTerm = entry.term();
             if (pending.contains(index)) {
-                const bool ownProposal = pending.at(index).term == entry.term();
-                results.emplace_back(index, ownProposal ? std::move(result) : unknownOutcome());
+                const Pending &proposal = pending.at(index);
+                const bool ownProposal = proposal.term == entry.term();
+                results.emplace_back(index, ownProposal ? proposal.result.value_or(result) : unknownOutcome());
             }
         }
     }
     changed = true;
+    orderGuard.recordApplied(commit);
     completePending(results);
 }
 
--- a/ledger/nodeloop.h
+++ b/ledger/nodeloop.h
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "ledger/node.h"
+#include "ledger/orderguard.h"
 #include "ledger/raft.h"
 #include "ledger/store.h"
 
@@ -39,6 +40,7 @@
     {
         proto::LogMember member;
         MemberChange kind = MemberChange::Add;
+        Revision seenRevision = 0;
         ResultCallback done;
     };
 
@@ -82,6 +84,14 @@
     void run();
     void runJobs();
     void handle(Input &input, Time now);
+    void handleOrder(Proposal &proposal);
+    void handleOrder(MemberRequest &change);
+    // Whether an order may be appended now. Otherwise it was answered, or waits in waitingOrders.
+    template<typename Order>
+    bool admit(Order &order, const OrderClaims &claims);
+    // Judges the waiting orders again, as entries were applied or this host leads no more.
+    void handleWaitingOrders();
+    void failWaitingOrders(const proto::CommandResult &result);
     void processOutput(Time now);
     bool persist(RaftOutput &output, Time now);
     void install(const proto::LogSnapshot &snapshot, Time now);
@@ -103,12 +113,15 @@
     {
         std::uint64_t term = 0;
         ResultCallback done;
+        std::optional<proto::CommandResult> result; // replaces that of the entry
     };
 
     Options options;
     Store store;
     Raft raft;
     std::map<std::uint64_t, Pending> pending; // by log index
+    OrderGuard orderGuard;
+    std::vector<std::variant<Proposal, MemberRequest>> waitingOrders; // not appended, in the order of their arrival
     std::map<std::uint64_t, ReadCallback> pendingReads; // by read id; leadership not yet confirmed
     std::multimap<std::uint64_t, ReadCallback> confirmedReads; // by the log index that must be applied first
     std::uint64_t nextReadId = 1;
--- /dev/null
+++ b/ledger/nodeorders.cpp
@@ -0,0 +1,109 @@
+// Functions of Node::Private that append orders: proposed commands and changes of members.
+#include "base/log.h"
+#include "base/metrics.h"
+#include "ledger/nodeloop.h"
+
+namespace banyanledge
+{
+
+namespace
+{
+
+proto::CommandResult errorResult(proto::ErrorKind kind, const std::string &message)
+{
+    proto::CommandResult result;
+    result.set_kind(kind);
+    result.set_message(message);
+    return result;
+}
+
+proto::CommandResult refusal(const OrderClaims &order, const Table &table)
+{
+    logInfo("order refused, because a newer decision on its subject is in force",
+            {{"change", order.changeId},
+             {"subject", order.subjects.front()},
+             {"seen_revision", std::to_string(order.seenRevision)},
+             {"newest_decision", std::to_string(table.newestDecision(order.subjects.front()))}});
+    countMetric("banyanledge_old_orders_refused_total");
+    return errorResult(proto::ERROR_CONFLICT,
+                       "a newer change of the same object was acknowledged, so this one is not in force; read the "
+                       "object again and send the change again if it is still wanted");
+}
+
+} // namespace
+
+// A new leader knows the decisions of earlier ones once it has applied an entry of its own term.
+template<typename Order>
+bool Node::Private::admit(Order &order, const OrderClaims &claims)
+{
+    if (claims.seenRevision == 0 || raft.role() != Raft::Role::Leader) {
+        return true;
+    }
+    const bool knowsDecisions = appliedTerm == raft.term();
+    switch (knowsDecisions ? orderGuard.judge(claims, table) : OrderGuard::Verdict::Wait) {
+    case OrderGuard::Verdict::Append:
+        return true;
+    case OrderGuard::Verdict::Wait:
+        waitingOrders.emplace_back(std::move(order));
+        return false;
+    case OrderGuard::Verdict::Refuse:
+        break;
+    }
+    order.done(refusal(claims, table));
+    return false;
+}
+
+void Node::Private::handleOrder(Proposal &proposal)
+{
+    const proto::Command &command = proposal.command;
+    const CommandSubjects subjects = subjectsOf(command);
+    if (!admit(proposal, {command.change_id(), subjects.checked, command.seen_revision()})) {
+        return;
+    }
+    const auto index = raft.propose(command);
+    if (!index) {
+        proposal.done(errorResult(lastError().kind, lastError().message));
+        return;
+    }
+    orderGuard.recordAppended(subjects.recorded, *index);
+    pending[*index] = {raft.term(), std::move(proposal.done), std::nullopt};
+}
+
+void Node::Private::handleOrder(MemberRequest &change)
+{
+    const std::string subject = controlMemberSubject(change.member.id());
+    if (!admit(change, {{}, {subject}, change.seenRevision})) {
+        return;
+    }
+    auto index = raft.changeMember(change.member, change.kind);
+    std::optional<proto::CommandResult> unchanged;
+    const bool isUnchanged =
+        !index && (lastError().kind == proto::ERROR_EXISTS || lastError().kind == proto::ERROR_NOT_FOUND);
+    if (isUnchanged) {
+        // The answer is a decision too: once the caller has it, an older order must not change the member.
+        unchanged = errorResult(lastError().kind, lastError().message);
+        index = raft.confirmMember(change.member.id());
+    }
+    if (!index) {
+        change.done(errorResult(lastError().kind, lastError().message));
+        return;
+    }
+    orderGuard.recordAppended({subject}, *index);
+    pending[*index] = {raft.term(), std::move(change.done), std::move(unchanged)};
+}
+
+void Node::Private::handleWaitingOrders()
+{
+    for (auto &order : std::exchange(waitingOrders, {})) {
+        std::visit([this](auto &waiting) { handleOrder(waiting); }, order);
+    }
+}
+
+void Node::Private::failWaitingOrders(const proto::CommandResult &result)
+{
+    for (auto &order : std::exchange(waitingOrders, {})) {
+        std::visit([&result](auto &waiting) { waiting.done(result); }, order);
+    }
+}
+
+} // namespace banyanledge
--- a/ledger/raft.h
+++ b/ledger/raft.h
@@ -93,6 +93,10 @@
     // is not the leader, another change is not yet committed, or the change is not possible.
     std::optional<std::uint64_t> changeMember(const proto::LogMember &member, MemberChange kind);
 
+    // Appends an entry that changes nothing and decides that a member of the group stays as it is. Returns its log
+    // index, or nullopt with lastError() when this member is not the leader.
+    std::optional<std::uint64_t> confirmMember(const std::string &id);
+
     // Hands leadership over to the voter with the longest log, which starts an election at once. Commands are refused
     // until that voter leads or an election timeout has passed. Does nothing on other members than the leader.
     void transferLeadership(Time now);
@@ -191,7 +195,8 @@
     bool removeUnreachableVoter(Time now);
     void rebuildProgress(Time now);
     std::uint64_t appendEntry(proto::LogEntry entry);
-    std::uint64_t appendConfig(const proto::LogConfig &config);
+    // `decidedMember` is empty for changes that follow from the state of the group, such as a promotion.
+    std::uint64_t appendConfig(const proto::LogConfig &config, const std::string &decidedMember);
     // Returns true if an entry of the current term is committed.
     bool committedInTerm() const;
     const proto::LogMember *member(const std::string &id) const;
--- a/ledger/raftleader.cpp
+++ b/ledger/raftleader.cpp
@@ -88,6 +88,17 @@
     return kind == MemberChange::Add ? addMember(change) : removeMember(change, kind);
 }
 
+std::optional<std::uint64_t> Raft::confirmMember(const std::string &id)
+{
+    if (m_role != Role::Leader) {
+        return failNotLeader();
+    }
+    proto::LogEntry entry;
+    entry.set_noop(true);
+    entry.set_decided_member(id);
+    return appendEntry(std::move(entry));
+}
+
 std::optional<std::uint64_t> Raft::removeMember(const proto::LogMember &change, MemberChange kind)
 {
     auto config = m_log.config();
@@ -108,7 +119,7 @@
     auto *members = config.mutable_members();
     members->erase(std::find_if(members->begin(), members->end(),
                                 [&change](const auto &member) { return member.id() == change.id(); }));
-    return appendConfig(config);
+    return appendConfig(config, change.id());
 }
 
 std::optional<std::uint64_t> Raft::addMember(const proto::LogMember &change)
@@ -139,13 +150,14 @@
     if (!change.rpc_address().empty()) {
         existing->set_rpc_address(change.rpc_address());
     }
-    return appendConfig(config);
+    return appendConfig(config, change.id());
 }
 
-std::uint64_t Raft::appendConfig(const proto::LogConfig &config)
+std::uint64_t Raft::appendConfig(const proto::LogConfig &config, const std::string &decidedMember)
 {
     proto::LogEntry entry;
     *entry.mutable_config() = config;
+    entry.set_decided_member(decidedMember);
     return appendEntry(std::move(entry));
 }
 
@@ -206,7 +218,7 @@
         }
         learner.set_voter(true);
         learner.set_identity(found->second.identity);
-        appendConfig(config);
+        appendConfig(config, {});
         return;
     }
 }
--- a/ledger/table.cpp
+++ b/ledger/table.cpp
@@ -138,6 +138,11 @@
     advance(revision);
     m_clockMs = std::max(m_clockMs, command.time_ms());
     removeExpired();
+    // A command that changes nothing, or is refused or repeated, is a decision like any other: once it is acknowledged,
+    // an older command must not follow it.
+    for (const std::string &subject : subjectsOf(command).recorded) {
+        m_decisions.record(subject, m_revision);
+    }
     const auto earlier = m_results.find(command.change_id());
     if (earlier != m_results.end()) {
         auto result = earlier->second.result();
@@ -153,6 +158,21 @@
     m_revision = revision;
 }
 
+void Table::recordDecision(const std::string &subject)
+{
+    m_decisions.record(subject, m_revision);
+}
+
+Revision Table::newestDecision(const std::string &subject) const
+{
+    return m_decisions.newest(subject);
+}
+
+bool Table::hasResult(const std::string &changeId) const
+{
+    return m_results.contains(changeId);
+}
+
 void Table::storeClaim(const proto::Claim &claim)
 {
     const auto name = claimKey(claim.customer(), claim.request_id());
--- a/ledger/table.h
+++ b/ledger/table.h
@@ -14,6 +14,7 @@
 
 #include "base/error.h"
 #include "base/types.h"
+#include "ledger/subjects.h"
 
 namespace banyanledge
 {
@@ -41,6 +42,15 @@
     // Records that an entry was applied; called directly for entries without a command.
     void advance(Revision revision);
 
+    // Records a decision by the entry that was applied last, for entries without a command.
+    void recordDecision(const std::string &subject);
+
+    // Returns the revision of the newest decision on a subject of ledger/subjects.h.
+    Revision newestDecision(const std::string &subject) const;
+
+    // Whether the result of a change is kept, so that the change would not be applied again.
+    bool hasResult(const std::string &changeId) const;
+
     // Returns the log index of the last applied entry.
     Revision revision() const;
 
@@ -158,6 +168,7 @@
     std::deque<std::pair<std::int64_t, std::string>> m_claimTimes; // time in ms and key of claims, oldest first
     std::deque<std::pair<std::int64_t, std::string>> m_resultTimes; // time in ms and change id of results, oldest first
     std::deque<proto::AuditRecord> m_audit;
+    NewestDecisions m_decisions;
 };
 
 } // namespace banyanledge
--- a/ledger/tablecontent.cpp
+++ b/ledger/tablecontent.cpp
@@ -313,6 +313,7 @@
     image.set_tombstone_floor(m_tombstoneFloor);
     image.set_version_floor(m_versionFloor);
     image.set_clock_ms(m_clockMs);
+    *image.mutable_decisions() = m_decisions.image();
     return image;
 }
 
@@ -332,6 +333,7 @@
     m_tombstoneFloor = image.tombstone_floor();
     m_versionFloor = image.version_floor();
     m_clockMs = image.clock_ms();
+    m_decisions.restore(image.has_decisions() ? &image.decisions() : nullptr, m_revision);
     for (const auto &customer : content.customers()) {
         m_customers.emplace_hint(m_customers.end(), customer.name(), customer);
     }
--- a/tests/ledger.cmake
+++ b/tests/ledger.cmake
@@ -8,3 +8,4 @@
 # Benchmark of the replicated log: prints its results as JSON lines.
 add_executable(bench_truth bench_truth.cpp)
 target_link_libraries(bench_truth PRIVATE banyan_ledger)
+banyan_test(test_decisions truth test_decisions.cpp LINK banyan_ledger)
--- a/tests/test_node.cpp
+++ b/tests/test_node.cpp
@@ -159,7 +159,7 @@
     const auto change = [&](MemberChange kind) {
         return eventually([&] {
             std::promise<proto::CommandResult> promise;
-            group.node(group.waitLeader())->changeMember(member, kind, [&](const proto::CommandResult &result) {
+            group.node(group.waitLeader())->changeMember(member, kind, 0, [&](const proto::CommandResult &result) {
                 promise.set_value(result);
             });
             return promise.get_future().get().kind() == proto::ERROR_NONE;
