Refuse a claim after its release, and the end of a claim that another command holds

What callers saw: nothing so far. A second copy of a release that waited in a cut could free the request id while a newer attempt of the same process ran by it, so that a resend would run it again.

Claims have no stored result, so that a change id does not tell a late copy either.

Change: CompleteClaim and ReleaseClaim name the command that took the claim. The table records the release of a claim that it did not find; the leader refuses that claim, and the end of a claim that another command holds, before it appends them, so that builds apply the same log alike. A request to join the control group gets 2 s for its two calls.

--- a/control/join.cpp
+++ b/control/join.cpp
@@ -21,8 +21,8 @@
 // Time without a leader after which a host that has a member list asks to be added. An ordinary election is shorter.
 constexpr milliseconds leaderlessTimeout{500};
 
-// Timeout of one request to be added.
-constexpr milliseconds joinTimeout{1000};
+// Timeout of one request to be added, which takes two calls to the leader.
+constexpr milliseconds joinTimeout{2000};
 
 // Pause between two checks whether a step of leaving is done.
 constexpr milliseconds leaveInterval{10};
--- a/entry/exchange.cpp
+++ b/entry/exchange.cpp
@@ -306,6 +306,7 @@
         m_requestId = m_shared->self.id() + "/" + std::to_string(randomId());
     }
     auto command = newCommand();
+    m_claimChangeId = command.change_id();
     auto &claim = *command.mutable_claim();
     claim.set_customer(m_customer);
     claim.set_request_id(m_requestId);
@@ -510,6 +511,7 @@
         completed.set_host(m_shared->self.id());
         completed.set_incarnation(m_shared->self.incarnation());
         completed.set_status(static_cast<std::uint32_t>(*m_status));
+        completed.set_claim_change_id(m_claimChangeId);
         proposeSettlement(command);
     } else if (!m_mayHaveRun) {
         auto &released = *command.mutable_release_claim();
@@ -517,6 +519,7 @@
         released.set_request_id(m_requestId);
         released.set_host(m_shared->self.id());
         released.set_incarnation(m_shared->self.incarnation());
+        released.set_claim_change_id(m_claimChangeId);
         proposeSettlement(command);
     }
 }
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -130,6 +130,7 @@
     bool m_customerTokenTaken = false; // to be returned if the request does not run
     std::string m_shiftOfToken; // id of the shift whose token was taken; empty without one
     ClaimStep m_claim = ClaimStep::None;
+    std::string m_claimChangeId; // of the command that takes the claim
     std::uint64_t m_requestBodyLinkBytes = 0; // request body bytes for which tokens of the link were requested
     std::shared_ptr<void> m_longBody; // counts this body among the active long bodies of its link
 
--- a/ledger/nodeloop.h
+++ b/ledger/nodeloop.h
@@ -86,9 +86,8 @@
     void handle(Input &input, Time now);
     void handleOrder(Proposal &proposal);
     void handleOrder(MemberRequest &change);
-    // Whether an order may be appended now. Otherwise it was answered, or waits in waitingOrders.
     template<typename Order>
-    bool admit(Order &order, const OrderClaims &claims);
+    OrderGuard::Verdict judge(const Order &order) const;
     // Judges the waiting orders again, as entries were applied or this host leads no more.
     void handleWaitingOrders();
     void failWaitingOrders(const proto::CommandResult &result);
--- a/ledger/nodeorders.cpp
+++ b/ledger/nodeorders.cpp
@@ -17,13 +17,14 @@
     return result;
 }
 
-proto::CommandResult refusal(const OrderClaims &order, const Table &table)
+proto::CommandResult refusal(const std::string &changeId, const std::string &subject, Revision seenRevision,
+                             const Table &table)
 {
     logInfo("order refused, because a newer decision on its subject is in force",
-            {{"change", order.changeId},
-             {"subject", order.subjects.front()},
-             {"seen_revision", std::to_string(order.seenRevision)},
-             {"newest_decision", std::to_string(table.newestDecision(order.subjects.front()))}});
+            {{"change", changeId},
+             {"subject", subject},
+             {"seen_revision", std::to_string(seenRevision)},
+             {"newest_decision", std::to_string(table.newestDecision(subject))}});
     countMetric("banyanledge_old_orders_refused_total");
     return errorResult(proto::ERROR_CONFLICT,
                        "a newer change of the same object was acknowledged, so this one is not in force; read the "
@@ -34,46 +35,49 @@
 
 // A new leader knows the decisions of earlier ones once it has applied an entry of its own term.
 template<typename Order>
-bool Node::Private::admit(Order &order, const OrderClaims &claims)
+OrderGuard::Verdict Node::Private::judge(const Order &order) const
 {
-    if (claims.seenRevision == 0 || raft.role() != Raft::Role::Leader) {
-        return true;
+    if (raft.role() != Raft::Role::Leader) {
+        return OrderGuard::Verdict::Append; // Raft refuses it
     }
-    const bool knowsDecisions = appliedTerm == raft.term();
-    switch (knowsDecisions ? orderGuard.judge(claims, table) : OrderGuard::Verdict::Wait) {
-    case OrderGuard::Verdict::Append:
-        return true;
-    case OrderGuard::Verdict::Wait:
-        waitingOrders.emplace_back(std::move(order));
-        return false;
-    case OrderGuard::Verdict::Refuse:
-        break;
-    }
-    order.done(refusal(claims, table));
-    return false;
+    return appliedTerm == raft.term() ? orderGuard.judge(order, table) : OrderGuard::Verdict::Wait;
 }
 
 void Node::Private::handleOrder(Proposal &proposal)
 {
     const proto::Command &command = proposal.command;
     const CommandSubjects subjects = subjectsOf(command);
-    if (!admit(proposal, {command.change_id(), subjects.checked, command.seen_revision()})) {
+    switch (judge(command)) {
+    case OrderGuard::Verdict::Wait:
+        waitingOrders.emplace_back(std::move(proposal));
+        return;
+    case OrderGuard::Verdict::Refuse:
+        proposal.done(refusal(command.change_id(), subjects.checked.front(), command.seen_revision(), table));
         return;
+    case OrderGuard::Verdict::Append:
+        break;
     }
     const auto index = raft.propose(command);
     if (!index) {
         proposal.done(errorResult(lastError().kind, lastError().message));
         return;
     }
-    orderGuard.recordAppended(subjects.recorded, *index);
+    orderGuard.recordAppended(subjects, *index);
     pending[*index] = {raft.term(), std::move(proposal.done), std::nullopt};
 }
 
 void Node::Private::handleOrder(MemberRequest &change)
 {
     const std::string subject = controlMemberSubject(change.member.id());
-    if (!admit(change, {{}, {subject}, change.seenRevision})) {
+    switch (judge(RevisionedOrder{{}, {subject}, change.seenRevision})) {
+    case OrderGuard::Verdict::Wait:
+        waitingOrders.emplace_back(std::move(change));
         return;
+    case OrderGuard::Verdict::Refuse:
+        change.done(refusal({}, subject, change.seenRevision, table));
+        return;
+    case OrderGuard::Verdict::Append:
+        break;
     }
     auto index = raft.changeMember(change.member, change.kind);
     std::optional<proto::CommandResult> unchanged;
@@ -88,7 +92,7 @@
         change.done(errorResult(lastError().kind, lastError().message));
         return;
     }
-    orderGuard.recordAppended({subject}, *index);
+    orderGuard.recordAppended({{subject}, {}}, *index);
     pending[*index] = {raft.term(), std::move(change.done), std::move(unchanged)};
 }
 
--- a/ledger/orderguard.cpp
+++ b/ledger/orderguard.cpp
@@ -5,14 +5,45 @@
 namespace banyanledge
 {
 
-OrderGuard::Verdict OrderGuard::judge(const OrderClaims &order, const Table &table) const
+namespace
+{
+
+// Whether another command has taken the claim that the change is to end.
+template<typename Change>
+bool isOfEarlierClaim(const Change &change, const Table &table)
+{
+    const proto::Claim *claim = table.claim(change.customer(), change.request_id());
+    return claim != nullptr && !change.claim_change_id().empty() && claim->change_id() != change.claim_change_id();
+}
+
+bool isOldClaim(const proto::Command &command, const Table &table)
+{
+    switch (command.change_case()) {
+    case proto::Command::kClaim:
+        return table.isClaimReleased(command.change_id());
+    case proto::Command::kCompleteClaim:
+        return isOfEarlierClaim(command.complete_claim(), table);
+    case proto::Command::kReleaseClaim:
+        return isOfEarlierClaim(command.release_claim(), table);
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+bool OrderGuard::overlapsAppended(const std::vector<std::string> &subjects) const
+{
+    return std::any_of(subjects.begin(), subjects.end(),
+                       [this](const auto &subject) { return m_counts.contains(subject); });
+}
+
+OrderGuard::Verdict OrderGuard::judge(const RevisionedOrder &order, const Table &table) const
 {
     if (order.seenRevision == 0) {
         return Verdict::Append;
     }
-    const bool overlapsAppended = std::any_of(order.subjects.begin(), order.subjects.end(),
-                                              [this](const auto &subject) { return m_counts.contains(subject); });
-    if (overlapsAppended) {
+    if (overlapsAppended(order.subjects)) {
         return Verdict::Wait;
     }
     if (table.hasResult(order.changeId)) {
@@ -24,15 +55,30 @@
     return isOld ? Verdict::Refuse : Verdict::Append;
 }
 
-void OrderGuard::recordAppended(const std::vector<std::string> &subjects, std::uint64_t index)
+OrderGuard::Verdict OrderGuard::judge(const proto::Command &command, const Table &table) const
+{
+    const CommandSubjects subjects = subjectsOf(command);
+    const bool isClaim = command.has_claim() || command.has_complete_claim() || command.has_release_claim();
+    if (!isClaim) {
+        return judge(RevisionedOrder{command.change_id(), subjects.checked, command.seen_revision()}, table);
+    }
+    if (overlapsAppended(subjects.checked)) {
+        return Verdict::Wait;
+    }
+    return isOldClaim(command, table) ? Verdict::Refuse : Verdict::Append;
+}
+
+void OrderGuard::recordAppended(const CommandSubjects &subjects, std::uint64_t index)
 {
-    if (subjects.empty()) {
+    std::vector<std::string> all = subjects.checked;
+    all.insert(all.end(), subjects.recorded.begin(), subjects.recorded.end());
+    if (all.empty()) {
         return;
     }
-    m_appended[index] = subjects;
-    for (const std::string &subject : subjects) {
+    for (const std::string &subject : all) {
         ++m_counts[subject];
     }
+    m_appended[index] = std::move(all);
 }
 
 void OrderGuard::forget(std::map<std::uint64_t, std::vector<std::string>>::iterator first,
--- a/ledger/orderguard.h
+++ b/ledger/orderguard.h
@@ -11,12 +11,12 @@
 namespace banyanledge
 {
 
-// What an order says of itself.
-struct OrderClaims
+// A change of the control group, or any order that names the revision on which it was decided.
+struct RevisionedOrder
 {
     std::string changeId; // empty if the order has none
     std::vector<std::string> subjects; // checked ones, see CommandSubjects
-    Revision seenRevision = 0; // revision of the state on which the order was decided; 0: not checked
+    Revision seenRevision = 0; // 0: not checked
 };
 
 // Not thread-safe.
@@ -31,10 +31,14 @@
 
     // Judges an order by the applied decisions and those that were appended and are not applied yet. A change id that
     // was applied before passes, so that a resent order gets its first result.
-    Verdict judge(const OrderClaims &order, const Table &table) const;
+    Verdict judge(const RevisionedOrder &order, const Table &table) const;
+
+    // The same for a command. Claims have no revision: a command that takes a claim is old when the claim was released,
+    // and one that ends a claim is old when another command has taken the claim since.
+    Verdict judge(const proto::Command &command, const Table &table) const;
 
     // Records an order that the leader has appended.
-    void recordAppended(const std::vector<std::string> &subjects, std::uint64_t index);
+    void recordAppended(const CommandSubjects &subjects, std::uint64_t index);
 
     // Forgets the appended orders up to an index, which are applied.
     void recordApplied(std::uint64_t index);
@@ -43,6 +47,8 @@
     void truncateAfter(std::uint64_t index);
 
 private:
+    bool overlapsAppended(const std::vector<std::string> &subjects) const;
+
     std::map<std::uint64_t, std::vector<std::string>> m_appended; // subjects by log index
     std::map<std::string, std::size_t> m_counts; // appended orders by subject
 
--- a/ledger/subjects.cpp
+++ b/ledger/subjects.cpp
@@ -62,6 +62,12 @@
     return "blocked:" + fingerprint;
 }
 
+template<typename Change>
+std::string claimSubject(const Change &change)
+{
+    return "claim:" + change.customer() + "/" + change.request_id();
+}
+
 CommandSubjects decisionOn(const std::vector<std::string> &subjects)
 {
     return {subjects, subjects};
@@ -130,10 +136,14 @@
         return decisionOn({blockedSubject(command.block_request().request().id())});
     case proto::Command::kUnblockRequest:
         return decisionOn({blockedSubject(command.unblock_request().id())});
-    case proto::Command::kPutDeclaration: // guarded by its version
+    // The change id of the command that took the claim guards claims, so that no decision on them is recorded.
     case proto::Command::kClaim:
+        return {{claimSubject(command.claim())}, {}};
     case proto::Command::kCompleteClaim:
+        return {{claimSubject(command.complete_claim())}, {}};
     case proto::Command::kReleaseClaim:
+        return {{claimSubject(command.release_claim())}, {}};
+    case proto::Command::kPutDeclaration: // guarded by its version
     case proto::Command::CHANGE_NOT_SET:
         break;
     }
@@ -145,6 +155,11 @@
     return "control:" + memberId;
 }
 
+std::string releasedClaimSubject(const std::string &claimChangeId)
+{
+    return "released:" + claimChangeId;
+}
+
 void NewestDecisions::record(const std::string &subject, Revision revision)
 {
     const auto [known, added] = m_bySubject.try_emplace(subject, revision);
@@ -167,6 +182,11 @@
     return known == m_bySubject.end() ? m_floor : known->second;
 }
 
+bool NewestDecisions::contains(const std::string &subject) const
+{
+    return m_bySubject.contains(subject);
+}
+
 proto::NewestDecisions NewestDecisions::image() const
 {
     proto::NewestDecisions image;
--- a/ledger/subjects.h
+++ b/ledger/subjects.h
@@ -30,6 +30,9 @@
 // Subject of the changes of one member of the control group.
 std::string controlMemberSubject(const std::string &memberId);
 
+// Subject of the release of a claim that was not found, by the change id of the command that was to take the claim.
+std::string releasedClaimSubject(const std::string &claimChangeId);
+
 // Revision of the newest decision on each subject. Part of the state machine, so that it is equal on all control hosts.
 class NewestDecisions
 {
@@ -40,6 +43,9 @@
     // revision that a dropped decision may have had.
     Revision newest(const std::string &subject) const;
 
+    // Whether the newest decision on a subject is kept.
+    bool contains(const std::string &subject) const;
+
     proto::NewestDecisions image() const;
 
     // An image of a build that kept no decisions is missing. Any decision up to its revision may then be forgotten.
--- a/ledger/table.cpp
+++ b/ledger/table.cpp
@@ -168,6 +168,11 @@
     return m_decisions.newest(subject);
 }
 
+bool Table::isClaimReleased(const std::string &claimChangeId) const
+{
+    return m_decisions.contains(releasedClaimSubject(claimChangeId));
+}
+
 bool Table::hasResult(const std::string &changeId) const
 {
     return m_results.contains(changeId);
@@ -587,6 +592,10 @@
     const auto found = m_claims.find(claimKey(change.customer(), change.request_id()));
     proto::CommandResult result;
     if (found == m_claims.end()) {
+        // The claim may still be on its way; the leader refuses it then.
+        if (!change.claim_change_id().empty()) {
+            m_decisions.record(releasedClaimSubject(change.claim_change_id()), m_revision);
+        }
         result.set_repeated(true);
         return result;
     }
--- a/tests/test_decisions.cpp
+++ b/tests/test_decisions.cpp
@@ -442,3 +442,65 @@
     decisions.record("evacuation:gwynedd-a", 71);
     CHECK(decisions.newest("evacuation:gwynedd-a") == 71);
 }
+
+namespace
+{
+
+Fill claimRequest()
+{
+    return [](proto::Command &command) {
+        auto &claim = *command.mutable_claim();
+        claim.set_customer("school");
+        claim.set_request_id("booking");
+        claim.set_host("e1");
+        claim.set_incarnation(1);
+    };
+}
+
+proto::Command endOfClaim(const proto::Command &claim)
+{
+    return newCommand([&claim](proto::Command &command) {
+        auto &release = *command.mutable_release_claim();
+        release.set_customer(claim.claim().customer());
+        release.set_request_id(claim.claim().request_id());
+        release.set_host(claim.claim().host());
+        release.set_incarnation(claim.claim().incarnation());
+        release.set_claim_change_id(claim.change_id());
+    });
+}
+
+std::optional<proto::Claim> storedClaim(const NodeGroup &group)
+{
+    return group.node(group.waitLeader())->claim("school", "booking");
+}
+
+} // namespace
+
+// Guards against a claim that arrives after its release and holds the request id for a day, although nothing runs by
+// it.
+TEST_CASE("a claim that was given up does not follow its release, which found nothing")
+{
+    NodeGroup group(3);
+    const auto claim = newCommand(claimRequest());
+    REQUIRE(group.propose(endOfClaim(claim)).kind() == proto::ERROR_NONE);
+    CHECK(group.propose(claim).kind() == proto::ERROR_CONFLICT);
+    CHECK_FALSE(storedClaim(group));
+    CHECK(group.propose(newCommand(claimRequest())).kind() == proto::ERROR_NONE);
+}
+
+// Guards against a second copy of a release that frees the request id while a newer attempt runs by it.
+TEST_CASE("a release that was given up does not end the claim of a newer attempt of the same process")
+{
+    NodeGroup group(3);
+    const auto first = newCommand(claimRequest());
+    const auto release = endOfClaim(first);
+    REQUIRE(group.propose(first).kind() == proto::ERROR_NONE);
+    REQUIRE(group.propose(release).kind() == proto::ERROR_NONE);
+    const auto second = newCommand(claimRequest());
+    REQUIRE(group.propose(second).kind() == proto::ERROR_NONE);
+    CHECK(group.propose(release).kind() == proto::ERROR_CONFLICT);
+    REQUIRE(storedClaim(group));
+    CHECK(storedClaim(group)->change_id() == second.change_id());
+    CHECK(group.propose(endOfClaim(second)).kind() == proto::ERROR_NONE);
+    CHECK_FALSE(storedClaim(group));
+}
