--- a/ledger/nodeloop.cpp
+++ b/ledger/nodeloop.cpp
@@ -5,6 +5,7 @@
 #include "base/invariant.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "ledger/results.h"
 #include "ledger/snapshotfile.h"
 
 namespace banyanledge
@@ -25,14 +26,6 @@
 // Delay before the next snapshot after one could not be written, for example because the disk is full.
 constexpr milliseconds snapshotRetryInterval{10000};
 
-proto::CommandResult errorResult(proto::ErrorKind kind, const std::string &message)
-{
-    proto::CommandResult result;
-    result.set_kind(kind);
-    result.set_message(message);
-    return result;
-}
-
 proto::CommandResult unknownOutcome()
 {
     return errorResult(
--- a/ledger/nodeorders.cpp
+++ b/ledger/nodeorders.cpp
@@ -2,6 +2,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "ledger/nodeloop.h"
+#include "ledger/results.h"
 
 namespace banyanledge
 {
@@ -9,14 +10,6 @@
 namespace
 {
 
-proto::CommandResult errorResult(proto::ErrorKind kind, const std::string &message)
-{
-    proto::CommandResult result;
-    result.set_kind(kind);
-    result.set_message(message);
-    return result;
-}
-
 proto::CommandResult refusal(const std::string &changeId, const std::string &subject, Revision seenRevision,
                              const Table &table)
 {
--- a/tests/relay.cpp
+++ b/tests/relay.cpp
@@ -122,10 +122,10 @@
     m_heldConnects.erase(session);
 }
 
-// A sender that resets its connection takes back the bytes that wait; one that closes it does not.
+// While bytes are held, a sender that resets its connection takes them back; one that closes it does not.
 void Relay::onEnd(const SessionPtr &session, Direction &direction, const asio::error_code &error)
 {
-    if (error != asio::error::eof) {
+    if (error != asio::error::eof || !m_held) {
         close(session);
         return;
     }
