Answer a Sync call only once its own announcement is stored, and refuse late copies of claims

A call whose registration has ended is compared with the table again and registered again where it differs. The table records each release, not only those that found nothing; test_decisions has the case. - Commands that are not checked, such as declarations, do not wait for the first entry of a new leader. - Entries are applied after the output of the log's thread is sent, as before.

--- a/control/sync.cpp
+++ b/control/sync.cpp
@@ -119,22 +119,20 @@
     }
     while (!ended.empty()) {
         const Call &call = ended.front();
-        // A newer decision on the member was applied. It may be what the call needs, or a newer process.
-        const bool mayRepeat = result.kind() == proto::ERROR_CONFLICT && leading();
-        if (mayRepeat && isSuperseded(call)) {
-            recordCallEnd(m_liveness, call.request);
-            refuseSuperseded(call);
-            ended.pop_front();
-        } else if (result.kind() == proto::ERROR_NONE || mayRepeat) {
+        // After a conflict, a newer decision on the member was applied: it may be what the call needs.
+        const bool isDecided = result.kind() == proto::ERROR_NONE || result.kind() == proto::ERROR_CONFLICT;
+        if (isDecided && !isSuperseded(call)) {
             m_arrived.splice(m_arrived.end(), ended, ended.begin());
-            if (mayRepeat) {
-                registerIfNeeded(std::prev(m_arrived.end()), now);
-            }
+            registerIfNeeded(std::prev(m_arrived.end()), now);
+            continue;
+        }
+        recordCallEnd(m_liveness, call.request);
+        if (isSuperseded(call)) {
+            refuseSuperseded(call);
         } else {
-            recordCallEnd(m_liveness, call.request);
             refuse(call, result.kind(), result.message());
-            ended.pop_front();
         }
+        ended.pop_front();
     }
     startRound();
 }
--- a/ledger/nodeloop.cpp
+++ b/ledger/nodeloop.cpp
@@ -193,10 +193,12 @@
 {
     const auto before = std::make_pair(raft.role(), raft.term());
     for (;;) {
-        applyCommitted();
-        handleWaitingOrders();
         auto output = raft.output(now);
         if (output.empty()) {
+            applyCommitted();
+            if (handleWaitingOrders()) {
+                continue;
+            }
             break;
         }
         // Heartbeats depend on nothing that is not stored yet, and must not wait for a slow disk.
@@ -215,6 +217,7 @@
                 }
             });
         }
+        applyCommitted();
         for (const auto &read : output.reads) {
             auto done = std::move(pendingReads.extract(read.id).mapped());
             if (read.index) {
--- a/ledger/nodeloop.h
+++ b/ledger/nodeloop.h
@@ -88,8 +88,9 @@
     void handleOrder(MemberRequest &change);
     template<typename Order>
     OrderGuard::Verdict judge(const Order &order) const;
-    // Judges the waiting orders again, as entries were applied or this host leads no more.
-    void handleWaitingOrders();
+    // Judges the waiting orders again, as entries were applied or this host leads no more. Returns true if it appended
+    // any.
+    bool handleWaitingOrders();
     void failWaitingOrders(const proto::CommandResult &result);
     void processOutput(Time now);
     bool persist(RaftOutput &output, Time now);
--- a/ledger/nodeorders.cpp
+++ b/ledger/nodeorders.cpp
@@ -33,7 +33,7 @@
     if (raft.role() != Raft::Role::Leader) {
         return OrderGuard::Verdict::Append; // Raft refuses it
     }
-    return appliedTerm == raft.term() ? orderGuard.judge(order, table) : OrderGuard::Verdict::Wait;
+    return orderGuard.judge(order, table, appliedTerm == raft.term());
 }
 
 void Node::Private::handleOrder(Proposal &proposal)
@@ -89,11 +89,13 @@
     pending[*index] = {raft.term(), std::move(change.done), std::move(unchanged)};
 }
 
-void Node::Private::handleWaitingOrders()
+bool Node::Private::handleWaitingOrders()
 {
+    const auto lastIndex = raft.log().lastIndex();
     for (auto &order : std::exchange(waitingOrders, {})) {
         std::visit([this](auto &waiting) { handleOrder(waiting); }, order);
     }
+    return raft.log().lastIndex() != lastIndex;
 }
 
 void Node::Private::failWaitingOrders(const proto::CommandResult &result)
--- a/ledger/orderguard.cpp
+++ b/ledger/orderguard.cpp
@@ -38,12 +38,12 @@
                        [this](const auto &subject) { return m_counts.contains(subject); });
 }
 
-OrderGuard::Verdict OrderGuard::judge(const RevisionedOrder &order, const Table &table) const
+OrderGuard::Verdict OrderGuard::judge(const RevisionedOrder &order, const Table &table, bool knowsDecisions) const
 {
     if (order.seenRevision == 0) {
         return Verdict::Append;
     }
-    if (overlapsAppended(order.subjects)) {
+    if (!knowsDecisions || overlapsAppended(order.subjects)) {
         return Verdict::Wait;
     }
     if (table.hasResult(order.changeId)) {
@@ -55,14 +55,15 @@
     return isOld ? Verdict::Refuse : Verdict::Append;
 }
 
-OrderGuard::Verdict OrderGuard::judge(const proto::Command &command, const Table &table) const
+OrderGuard::Verdict OrderGuard::judge(const proto::Command &command, const Table &table, bool knowsDecisions) const
 {
     const CommandSubjects subjects = subjectsOf(command);
     const bool isClaim = command.has_claim() || command.has_complete_claim() || command.has_release_claim();
     if (!isClaim) {
-        return judge(RevisionedOrder{command.change_id(), subjects.checked, command.seen_revision()}, table);
+        return judge(RevisionedOrder{command.change_id(), subjects.checked, command.seen_revision()}, table,
+                     knowsDecisions);
     }
-    if (overlapsAppended(subjects.checked)) {
+    if (!knowsDecisions || overlapsAppended(subjects.checked)) {
         return Verdict::Wait;
     }
     return isOldClaim(command, table) ? Verdict::Refuse : Verdict::Append;
--- a/ledger/orderguard.h
+++ b/ledger/orderguard.h
@@ -30,12 +30,13 @@
     };
 
     // Judges an order by the applied decisions and those that were appended and are not applied yet. A change id that
-    // was applied before passes, so that a resent order gets its first result.
-    Verdict judge(const RevisionedOrder &order, const Table &table) const;
+    // was applied before passes, so that a resent order gets its first result. `knowsDecisions`: the table holds all
+    // decisions of earlier leaders.
+    Verdict judge(const RevisionedOrder &order, const Table &table, bool knowsDecisions) const;
 
     // The same for a command. Claims have no revision: a command that takes a claim is old when the claim was released,
     // and one that ends a claim is old when another command has taken the claim since.
-    Verdict judge(const proto::Command &command, const Table &table) const;
+    Verdict judge(const proto::Command &command, const Table &table, bool knowsDecisions) const;
 
     // Records an order that the leader has appended.
     void recordAppended(const CommandSubjects &subjects, std::uint64_t index);
--- a/ledger/subjects.h
+++ b/ledger/subjects.h
@@ -30,7 +30,7 @@
 // Subject of the changes of one member of the control group.
 std::string controlMemberSubject(const std::string &memberId);
 
-// Subject of the release of a claim that was not found, by the change id of the command that was to take the claim.
+// Subject of the release of a claim, by the change id of the command that takes it.
 std::string releasedClaimSubject(const std::string &claimChangeId);
 
 // Revision of the newest decision on each subject. Part of the state machine, so that it is equal on all control hosts.
--- a/ledger/table.h
+++ b/ledger/table.h
@@ -48,7 +48,7 @@
     // Returns the revision of the newest decision on a subject of ledger/subjects.h.
     Revision newestDecision(const std::string &subject) const;
 
-    // Whether the claim that a command was to take was released before the command arrived.
+    // Whether the claim that a command takes, or was to take, has been released.
     bool isClaimReleased(const std::string &claimChangeId) const;
 
     // Whether the result of a change is kept, so that the change would not be applied again.
--- a/ledger/tableclaims.cpp
+++ b/ledger/tableclaims.cpp
@@ -85,13 +85,13 @@
 
 proto::CommandResult Table::applyChange(const proto::ReleaseClaim &change)
 {
+    // The command that takes the claim, or a second copy of it, may still be on its way; the leader refuses it then.
+    if (!change.claim_change_id().empty()) {
+        m_decisions.record(releasedClaimSubject(change.claim_change_id()), m_revision);
+    }
     const auto found = m_claims.find(claimKey(change.customer(), change.request_id()));
     proto::CommandResult result;
     if (found == m_claims.end()) {
-        // The claim may still be on its way; the leader refuses it then.
-        if (!change.claim_change_id().empty()) {
-            m_decisions.record(releasedClaimSubject(change.claim_change_id()), m_revision);
-        }
         result.set_repeated(true);
         return result;
     }
--- a/tests/test_decisions.cpp
+++ b/tests/test_decisions.cpp
@@ -488,14 +488,16 @@
     CHECK(group.propose(newCommand(claimRequest())).kind() == proto::ERROR_NONE);
 }
 
-// Guards against a second copy of a release that frees the request id while a newer attempt runs by it.
-TEST_CASE("a release that was given up does not end the claim of a newer attempt of the same process")
+// Guards against second copies, delayed by a cut: that of a claim holds the request id again, that of a release frees
+// it while a newer attempt runs by it.
+TEST_CASE("second copies of a claim and of its release do not touch the claim of a newer attempt of the same process")
 {
     NodeGroup group(3);
     const auto first = newCommand(claimRequest());
     const auto release = endOfClaim(first);
     REQUIRE(group.propose(first).kind() == proto::ERROR_NONE);
     REQUIRE(group.propose(release).kind() == proto::ERROR_NONE);
+    CHECK(group.propose(first).kind() == proto::ERROR_CONFLICT);
     const auto second = newCommand(claimRequest());
     REQUIRE(group.propose(second).kind() == proto::ERROR_NONE);
     CHECK(group.propose(release).kind() == proto::ERROR_CONFLICT);
--- a/tests/test_sync.cpp
+++ b/tests/test_sync.cpp
@@ -187,6 +187,24 @@
     CHECK(reply.content().servers(0).incarnation() != processReport->incarnation());
 }
 
+// Guards against an announcement that is lost, because it was decided on the same revision as an earlier one of the
+// same host and the leader refuses the later of two such changes.
+TEST_CASE("of two announcements of one host that are under way at once the later one is in force when it is answered")
+{
+    NodeGroup group(3);
+    SyncFixture fixture(group.node(group.waitLeader()));
+    (void)fixture.sync(syncCall("e1"));
+    proto::SyncRequest live = syncCall("e2");
+    proto::SyncRequest leaving = live;
+    leaving.mutable_self()->set_state(proto::MEMBER_LEAVING);
+    auto first = fixture.begin(live);
+    auto second = fixture.begin(leaving);
+    CHECK(first.get().kind() == proto::ERROR_NONE);
+    const proto::SyncReply answer = second.get();
+    CHECK(answer.kind() == proto::ERROR_NONE);
+    CHECK(stateIn(answer, "e2") == proto::MEMBER_LEAVING);
+}
+
 TEST_CASE("a follower refuses Sync calls and names the leader")
 {
     NodeGroup group(3);
