--- a/ledger/orderguard.cpp
+++ b/ledger/orderguard.cpp
@@ -82,8 +82,7 @@
     m_appended[index] = std::move(all);
 }
 
-void OrderGuard::forget(std::map<std::uint64_t, std::vector<std::string>>::iterator first,
-                        std::map<std::uint64_t, std::vector<std::string>>::iterator last)
+void OrderGuard::forget(SubjectsByIndex::iterator first, SubjectsByIndex::iterator last)
 {
     for (auto entry = first; entry != last; ++entry) {
         for (const std::string &subject : entry->second) {
--- a/ledger/orderguard.h
+++ b/ledger/orderguard.h
@@ -48,13 +48,13 @@
     void truncateAfter(std::uint64_t index);
 
 private:
-    bool overlapsAppended(const std::vector<std::string> &subjects) const;
+    using SubjectsByIndex = std::map<std::uint64_t, std::vector<std::string>>;
 
-    std::map<std::uint64_t, std::vector<std::string>> m_appended; // subjects by log index
-    std::map<std::string, std::size_t> m_counts; // appended orders by subject
+    bool overlapsAppended(const std::vector<std::string> &subjects) const;
+    void forget(SubjectsByIndex::iterator first, SubjectsByIndex::iterator last);
 
-    void forget(std::map<std::uint64_t, std::vector<std::string>>::iterator first,
-                std::map<std::uint64_t, std::vector<std::string>>::iterator last);
+    SubjectsByIndex m_appended; // subjects of the appended orders by log index
+    std::map<std::string, std::size_t> m_counts; // number of appended orders by subject
 };
 
 } // namespace banyanledge
--- a/tests/test_decisions.cpp
+++ b/tests/test_decisions.cpp
@@ -1,6 +1,7 @@
 // Old orders and newer decisions on the same subject, on nodes with real threads and files.
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <functional>
 
 #include "ledger/orderguard.h"
@@ -253,6 +254,16 @@
     return group.propose(command).kind();
 }
 
+// Proposes what comes before both orders, and returns the revision on which the older one is decided.
+Revision prepare(NodeGroup &group, const Contradiction &tested)
+{
+    REQUIRE(group.propose(newCommand(unrelated())).kind() == proto::ERROR_NONE);
+    for (const Fill &fill : tested.before) {
+        REQUIRE(group.propose(newCommand(fill)).kind() == proto::ERROR_NONE);
+    }
+    return newestRevision(group);
+}
+
 proto::CommandResult changeMember(const NodeGroup &group, MemberChange kind, Revision seen)
 {
     proto::LogMember member;
@@ -275,6 +286,34 @@
     return active;
 }
 
+Fill claimRequest()
+{
+    return [](proto::Command &command) {
+        auto &claim = *command.mutable_claim();
+        claim.set_customer("school");
+        claim.set_request_id("booking");
+        claim.set_host("e1");
+        claim.set_incarnation(1);
+    };
+}
+
+proto::Command endOfClaim(const proto::Command &claim)
+{
+    return newCommand([&claim](proto::Command &command) {
+        auto &release = *command.mutable_release_claim();
+        release.set_customer(claim.claim().customer());
+        release.set_request_id(claim.claim().request_id());
+        release.set_host(claim.claim().host());
+        release.set_incarnation(claim.claim().incarnation());
+        release.set_claim_change_id(claim.change_id());
+    });
+}
+
+std::optional<proto::Claim> storedClaim(const NodeGroup &group)
+{
+    return group.node(group.waitLeader())->claim("school", "booking");
+}
+
 } // namespace
 
 // Guards against an order that arrives late and undoes a newer one that was acknowledged, for each command.
@@ -283,11 +322,7 @@
     for (const Contradiction &tested : contradictions()) {
         INFO(tested.name);
         NodeGroup group(1);
-        REQUIRE(group.propose(newCommand(unrelated())).kind() == proto::ERROR_NONE);
-        for (const Fill &fill : tested.before) {
-            REQUIRE(group.propose(newCommand(fill)).kind() == proto::ERROR_NONE);
-        }
-        const Revision seen = newestRevision(group);
+        const Revision seen = prepare(group, tested);
         (void)group.propose(newCommand(tested.newer)); // some are refused, which is an answer like any other
         const Revision content = group.node("c1")->contentRevision();
         CHECK(proposeAt(group, newCommand(tested.older), seen) == proto::ERROR_CONFLICT);
@@ -300,19 +335,11 @@
 {
     for (const Contradiction &tested : contradictions()) {
         INFO(tested.name);
-        NodeGroup group(1);
-        REQUIRE(group.propose(newCommand(unrelated())).kind() == proto::ERROR_NONE);
-        for (const Fill &fill : tested.before) {
-            REQUIRE(group.propose(newCommand(fill)).kind() == proto::ERROR_NONE);
-        }
-        const Revision seen = newestRevision(group);
-        REQUIRE(group.propose(newCommand(unrelated())).kind() == proto::ERROR_NONE);
-        const auto expected = group.propose(newCommand(tested.older)).kind();
+        NodeGroup unguarded(1);
+        (void)prepare(unguarded, tested);
+        const proto::ErrorKind expected = unguarded.propose(newCommand(tested.older)).kind();
         NodeGroup guarded(1);
-        REQUIRE(guarded.propose(newCommand(unrelated())).kind() == proto::ERROR_NONE);
-        for (const Fill &fill : tested.before) {
-            REQUIRE(guarded.propose(newCommand(fill)).kind() == proto::ERROR_NONE);
-        }
+        const Revision seen = prepare(guarded, tested);
         REQUIRE(guarded.propose(newCommand(unrelated())).kind() == proto::ERROR_NONE);
         CHECK(proposeAt(guarded, newCommand(tested.older), seen) == expected);
     }
@@ -443,39 +470,6 @@
     CHECK(decisions.newest("evacuation:gwynedd-a") == 71);
 }
 
-namespace
-{
-
-Fill claimRequest()
-{
-    return [](proto::Command &command) {
-        auto &claim = *command.mutable_claim();
-        claim.set_customer("school");
-        claim.set_request_id("booking");
-        claim.set_host("e1");
-        claim.set_incarnation(1);
-    };
-}
-
-proto::Command endOfClaim(const proto::Command &claim)
-{
-    return newCommand([&claim](proto::Command &command) {
-        auto &release = *command.mutable_release_claim();
-        release.set_customer(claim.claim().customer());
-        release.set_request_id(claim.claim().request_id());
-        release.set_host(claim.claim().host());
-        release.set_incarnation(claim.claim().incarnation());
-        release.set_claim_change_id(claim.change_id());
-    });
-}
-
-std::optional<proto::Claim> storedClaim(const NodeGroup &group)
-{
-    return group.node(group.waitLeader())->claim("school", "booking");
-}
-
-} // namespace
-
 // Guards against a claim that arrives after its release and holds the request id for a day, although nothing runs by
 // it.
 TEST_CASE("a claim that was given up does not follow its release, which found nothing")
