--- a/control/operatorserver.cpp
+++ b/control/operatorserver.cpp
@@ -34,7 +34,7 @@
     }
 
     // Called by RESTinio.
-    void state_changed(const restinio::connection_state::notice_t &notice)
+    void state_changed(const restinio::connection_state::notice_t &notice) // NOLINT RESTinio's name
     {
         const auto cause = notice.cause();
         const auto found = m_flags.find(notice.connection_id());
@@ -50,7 +50,7 @@
 
 struct ServerTraits : restinio::default_traits_t
 {
-    using connection_state_listener_t = OpenConnections;
+    using connection_state_listener_t = OpenConnections; // NOLINT(readability-identifier-naming) RESTinio's name
 };
 
 using HttpServer = restinio::running_server_instance_t<restinio::http_server_t<ServerTraits>>;
