Carry out the orders of one connection in the order in which the client sent them

Fault: since the operators' interface reads a second request while the first one is handled, so that it sees the end of the connection. Both were then handled at once, and the later order could come before the earlier one. Not seen by callers; found when the diff was read again.

Evidence: the new case of test_orders sends a creation and a cancellation at once, 30 times.

Change: the requests of a connection are handled on a strand of the worker pool.

--- a/control/operatorserver.cpp
+++ b/control/operatorserver.cpp
@@ -1,6 +1,7 @@
 #include "control/operatorserver.h"
 
 #include <asio/post.hpp>
+#include <asio/strand.hpp>
 #include <asio/thread_pool.hpp>
 #include <restinio/all.hpp>
 
@@ -16,19 +17,35 @@
 namespace
 {
 
-// Knows which connections are open, so that an order is not sent on for a client that waits no more. Used on the HTTP
-// thread only; the flags that it hands out may be read on any thread.
-class OpenConnections
+using WorkerPool = asio::thread_pool;
+
+// What is kept of an open connection. Requests are handled in the order in which the client sent them.
+struct ClientConnection
+{
+    explicit ClientConnection(WorkerPool &pool)
+        : requests(asio::make_strand(pool))
+    {
+    }
+
+    std::atomic<bool> open = true;
+    asio::strand<WorkerPool::executor_type> requests;
+};
+
+// The open connections, so that an order is not sent on for a client that waits no more. Used on the HTTP thread only;
+// the connections that it hands out may be used on any thread.
+class ClientConnections
 {
 public:
-    using Flag = std::shared_ptr<std::atomic<bool>>;
+    explicit ClientConnections(WorkerPool &pool)
+        : m_pool(pool)
+    {
+    }
 
-    // Returns a flag that is true for as long as the connection is open.
-    Flag flag(restinio::connection_id_t id)
+    std::shared_ptr<ClientConnection> connection(restinio::connection_id_t id)
     {
-        Flag &found = m_flags[id];
+        auto &found = m_connections[id];
         if (!found) {
-            found = std::make_shared<std::atomic<bool>>(true);
+            found = std::make_shared<ClientConnection>(m_pool);
         }
         return found;
     }
@@ -37,26 +54,27 @@
     void state_changed(const restinio::connection_state::notice_t &notice) // NOLINT RESTinio's name
     {
         const auto cause = notice.cause();
-        const auto found = m_flags.find(notice.connection_id());
-        if (restinio::holds_alternative<restinio::connection_state::closed_t>(cause) && found != m_flags.end()) {
-            *found->second = false;
-            m_flags.erase(found);
+        const auto found = m_connections.find(notice.connection_id());
+        if (restinio::holds_alternative<restinio::connection_state::closed_t>(cause) && found != m_connections.end()) {
+            found->second->open = false;
+            m_connections.erase(found);
         }
     }
 
 private:
-    std::map<restinio::connection_id_t, Flag> m_flags;
+    WorkerPool &m_pool;
+    std::map<restinio::connection_id_t, std::shared_ptr<ClientConnection>> m_connections;
 };
 
 struct ServerTraits : restinio::default_traits_t
 {
-    using connection_state_listener_t = OpenConnections; // NOLINT(readability-identifier-naming) RESTinio's name
+    using connection_state_listener_t = ClientConnections; // NOLINT(readability-identifier-naming) RESTinio's name
 };
 
 using HttpServer = restinio::running_server_instance_t<restinio::http_server_t<ServerTraits>>;
 
-// RESTinio reads from a connection while a response is pending, and so sees its end, only if one more request may
-// follow.
+// RESTinio reads from a connection while a response is pending only if one more request may follow. Without that, it
+// does not see the end of the connection.
 constexpr std::size_t maxPipelinedRequests = 2;
 
 // Requests wait for the leader on these threads, so that they don't block the HTTP thread.
@@ -137,8 +155,8 @@
 {
 public:
     RequestCounter activeRequests;
-    const std::shared_ptr<OpenConnections> connections = std::make_shared<OpenConnections>();
-    asio::thread_pool pool{workerThreads};
+    WorkerPool pool{workerThreads};
+    const std::shared_ptr<ClientConnections> connections = std::make_shared<ClientConnections>(pool);
     std::unique_ptr<HttpServer> server;
 };
 
@@ -161,9 +179,10 @@
     auto priv = std::make_unique<Private>();
     const auto handler = [&api, d = priv.get()](const restinio::request_handle_t &request) {
         d->activeRequests.begin();
+        const auto connection = d->connections->connection(request->connection_id());
         ApiRequest apiRequest = toApiRequest(*request);
-        apiRequest.isConnected = [open = d->connections->flag(request->connection_id())] { return open->load(); };
-        asio::post(d->pool, [&api, d, request, apiRequest = std::move(apiRequest)] {
+        apiRequest.isConnected = [connection] { return connection->open.load(); };
+        asio::post(connection->requests, [&api, d, request, apiRequest = std::move(apiRequest)] {
             respond(api, apiRequest, request, d->activeRequests);
         });
         return restinio::request_accepted();
--- a/tests/test_orders.cpp
+++ b/tests/test_orders.cpp
@@ -90,6 +90,18 @@
     {
         return send(m_objectPort, "/v1/customers", "{\"name\":\"" + name + "\"}");
     }
+    // Creates and cancels a customer by two requests sent at once, and waits for both responses.
+    void createAndCancel(const std::string &name)
+    {
+        const std::string body = "{\"name\":\"" + name + "\"}";
+        asio::ip::tcp::socket socket = connect(m_objectPort);
+        asio::write(socket, asio::buffer(post("/v1/customers", body) + post("/v1/customers/" + name + "/cancel", "")));
+        std::string responses;
+        for (int i = 0; i < 2; ++i) {
+            const std::size_t size = asio::read_until(socket, asio::dynamic_buffer(responses), "}\n");
+            responses.erase(0, size);
+        }
+    }
     asio::ip::tcp::socket evacuate(const std::string &zone)
     {
         return send(m_declarationPort, platform::evacuationPath + zone + "/start", "");
@@ -106,15 +118,25 @@
     }
 
     asio::ip::tcp::socket send(unsigned short port, const std::string &path, const std::string &body)
+    {
+        asio::ip::tcp::socket socket = connect(port);
+        asio::write(socket, asio::buffer(post(path, body)));
+        return socket;
+    }
+
+    asio::ip::tcp::socket connect(unsigned short port)
     {
         asio::ip::tcp::socket socket(m_loop);
         socket.connect({asio::ip::make_address("127.0.0.1"), port});
-        const std::string head = "POST " + path + " HTTP/1.1\r\nHost: control\r\nAuthorization: Bearer secret\r\n"
-            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-        asio::write(socket, asio::buffer(head + body));
         return socket;
     }
 
+    static std::string post(const std::string &path, const std::string &body)
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: control\r\nAuthorization: Bearer secret\r\n"
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
     static unsigned short freePort()
     {
         asio::io_context loop;
@@ -234,3 +256,20 @@
     CHECK(content.customers(0).name() == "waits");
     CHECK_FALSE(link.isEvacuated("gone"));
 }
+
+// Guards against two requests of one connection that are handled at once, so that the later order is carried out first.
+TEST_CASE("orders that a client sends on one connection without waiting are carried out in their order")
+{
+    constexpr int customers = 30;
+    CutLink link;
+    OperatorInterfaces operators(link.direct);
+    for (int i = 0; i < customers; ++i) {
+        operators.createAndCancel("c" + std::to_string(i));
+    }
+    const auto content = link.content();
+    REQUIRE(content.customers_size() == customers);
+    for (const auto &customer : content.customers()) {
+        INFO(customer.name());
+        CHECK_FALSE(customer.active());
+    }
+}
