--- a/control/leader.h
+++ b/control/leader.h
@@ -31,8 +31,7 @@
     ~LeaderClient();
 
     // Proposes a command and retries with the same change id until the deadline. Returns ERROR_UNAVAILABLE when no
-    // leader confirmed it in time. Whether it will be applied is then unknown, and it may be resent with the same
-    // change id.
+    // leader confirmed it in time: whether it will be applied is then unknown. It may be resent with its change id.
     proto::CommandResult propose(const proto::Command &command, Time deadline);
 
     // Proposes a command as an order that never follows a newer one on the same subject: reads the newest revision,
--- a/ledger/nodeorders.cpp
+++ b/ledger/nodeorders.cpp
@@ -10,8 +10,7 @@
 namespace
 {
 
-proto::CommandResult refusal(const std::string &changeId, const std::string &subject, Revision seenRevision,
-                             const Table &table)
+void recordRefusal(const std::string &changeId, const std::string &subject, Revision seenRevision, const Table &table)
 {
     logInfo("order refused, because a newer decision on its subject is in force",
             {{"change", changeId},
@@ -19,9 +18,6 @@
              {"seen_revision", std::to_string(seenRevision)},
              {"newest_decision", std::to_string(table.newestDecision(subject))}});
     countMetric("banyanledge_old_orders_refused_total");
-    return errorResult(proto::ERROR_CONFLICT,
-                       "a newer change of the same object was acknowledged, so this one is not in force; read the "
-                       "object again and send the change again if it is still wanted");
 }
 
 } // namespace
@@ -45,7 +41,10 @@
         waitingOrders.emplace_back(std::move(proposal));
         return;
     case OrderGuard::Verdict::Refuse:
-        proposal.done(refusal(command.change_id(), subjects.checked.front(), command.seen_revision(), table));
+        recordRefusal(command.change_id(), subjects.checked.front(), command.seen_revision(), table);
+        proposal.done(errorResult(proto::ERROR_CONFLICT,
+                                  "a newer change of the same object was decided meanwhile, so this one is not in "
+                                  "force; read the object again and send the change again if it is still wanted"));
         return;
     case OrderGuard::Verdict::Append:
         break;
@@ -67,7 +66,11 @@
         waitingOrders.emplace_back(std::move(change));
         return;
     case OrderGuard::Verdict::Refuse:
-        change.done(refusal({}, subject, change.seenRevision, table));
+        recordRefusal({}, subject, change.seenRevision, table);
+        // A change of a member has no change id, so that the newer one may be an earlier copy of this one.
+        change.done(errorResult(proto::ERROR_CONFLICT,
+                                "the member was changed meanwhile, perhaps by an earlier copy of this change; list the "
+                                "members and send the change again if it is still wanted"));
         return;
     case OrderGuard::Verdict::Append:
         break;
