--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -111,7 +111,7 @@
                 "Zones": ZONES, "Listen": listen, "InternalPortRange": [self.rpc_port, self.rpc_port + 15],
                 "Seeds": seeds, "Bootstrap": self.bootstrap, "DataDir": os.path.join(self.folder, machine.name),
                 "Limits": {"LinkMbps": 1000.0, "MemoryMb": 256 if core else 260},
-                "FaultTolerance": {"Machines": 2, "Zones": 1, "Regions": 1}, "Bounds": BOUNDS,
+                "FaultTolerance": {"Machines": (len(self.cores) - 1) // 2, "Zones": 1, "Regions": 1}, "Bounds": BOUNDS,
                 "Cloud": {"Address": self.platform_address, "RatePerS": 44.0, "MaxLagMs": 800}}
 
     def start(self, machine):
