--- a/review/11/case.py
+++ b/review/11/case.py
@@ -49,6 +49,7 @@
             request = f"booking-{number}-{count}"
             sent = time.monotonic()
             answer = None
+            self.record(f"{request} sent to {front.name}, {TIME_LIMIT_MS} ms left")
             try:
                 async with asyncio.timeout(TIME_LIMIT_MS / 1000):
                     if writer is None:
