Take all times of a stop from the grace that the installation states

What callers saw: on an installation that gives a stop 10 s, a gateway answered 504 to every request that was still at a backend server 5.2 s after SIGTERM, cut downloads, and ended; the servers ran the bookings to their end. Requests with a longer time limit were refused for no reason.

Cause: [gateway] stop_timeout_ms was 5,500 ms by default, a figure for a grace of 6 s, and deploy/gateway.ini did not fill it in. Other waits of a stop were constants of the same origin: 2.5 s for look-ups, 1 s for idle connections, 1 s and 2 s for a control host's leave, 2 s for the operators' API, 2 s for gRPC, 600 s for the entry role. SIGHUP reloaded only the addresses of control hosts, and a change without a signal was not noticed.

Ruled out: late answers of the servers, and clients that leave (without SIGTERM all bookings are answered).

Change: one setting, [host] stop_grace_s, in seconds, from {{Bounds.GraceS}} in both templates. decide/stopschedule derives all times of a stop from it: answers by 7/8, which lies in the last sixth, connections closed by 11/12, new connections for 7/16 or the life of a look-up, a control host's leave for a third. The grace and the lifetime of look-ups (now from {{Bounds.ttl_max_s}}) are reloaded by SIGHUP, by a change of the file, and once more at SIGTERM; the log names changes that wait for a restart. A process that stood still when SIGTERM came counts the grace from when it was due to take the signal. Numbers that are not finite are refused in settings.

Why it works: no wait of a stop has a length of its own any more, so that it fits any grace, and no request is cut before the last sixth.

stop_timeout_ms and lookup_lifetime_ms of [gateway], and stop_timeout_ms of [entry], are gone; a file that still has them is refused with the key's line.

--- a/apps/banyanledged.cpp
+++ b/apps/banyanledged.cpp
@@ -5,6 +5,7 @@
 #include <grpcpp/grpcpp.h>
 #include <grpcpp/resource_quota.h>
 
+#include <algorithm>
 #include <cstring>
 #include <functional>
 #include <iostream>
@@ -14,16 +15,19 @@
 #include <string>
 
 #include "apps/metricsserver.h"
+#include "apps/settingswatch.h"
 #include "base/crash.h"
 #include "base/error.h"
 #include "base/invariant.h"
 #include "base/log.h"
 #include "base/settings.h"
 #include "control/host.h"
+#include "decide/stopschedule.h"
 #ifdef BANYAN_WITH_ENTRY
 #include "entry/host.h"
 #endif
 #include "gateway/host.h"
+#include "gateway/text.h"
 #include "platform/decode.h"
 #include "platform/endpoints.h"
 #include "platform/protocol.h"
@@ -42,7 +46,9 @@
     "  -h, --help            show this help and exit\n"
     "  -V, --version         show the version and exit\n"
     "\n"
-    "SIGTERM and SIGINT start a graceful shutdown; SIGHUP reloads the addresses of the control hosts.\n"
+    "SIGTERM and SIGINT start a graceful shutdown, which ends within [host] stop_grace_s. SIGHUP or a change of the\n"
+    "file reloads the settings that --help-settings shows as reloaded; the log names changes that need a restart.\n"
+    "Signals during the shutdown have no effect.\n"
     "Exit codes: 0 after a graceful shutdown, 1 if the host cannot start, 2 for a usage error.\n";
 
 enum ExitCode {
@@ -104,6 +110,9 @@
     return std::nullopt;
 }
 
+// Interval at which the settings file is looked at for a change.
+constexpr milliseconds settingsInterval{250};
+
 // The roles of this process and its servers.
 struct Host
 {
@@ -144,10 +153,7 @@
     options.settings = settings;
     options.headerNames = platform::headerNames();
     options.handleReady = platform::serveReady;
-    const milliseconds lifetime(settings.gateway().lookup_lifetime_ms());
-    options.handleLookup = [lifetime](const Gateway &gateway, bool ready, HttpCall &call) {
-        platform::serveLookup(gateway, ready, lifetime, call);
-    };
+    options.handleLookup = platform::serveLookup;
     return std::make_unique<GatewayHost>(std::move(options));
 }
 
@@ -241,48 +247,138 @@
     return true;
 }
 
+// Logs when a part of the host has stopped, so that the log shows which one takes the time of a shutdown.
+void logStopped(const char *part, const StopSchedule &schedule)
+{
+    logInfo("stopped", {{"part", part}, {"ms", millisecondsText(Clock::now() - schedule.begin)}});
+}
+
+void stopServer(Host &host, const StopSchedule &schedule)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::system_clock::duration>(schedule.closeBy - Clock::now());
+    host.server->Shutdown(std::chrono::system_clock::now() + left);
+    host.server->Wait();
+    host.server.reset();
+    logStopped("gRPC server", schedule);
+}
+
+// Stops the control role, and before it is closed the gRPC server of its services.
+void stopControl(Host &host, const StopSchedule &schedule)
+{
+    host.control->leave(leaveDeadline(schedule, Clock::now()));
+    logStopped("membership of the control group", schedule);
+    if (host.declarationServer) {
+        host.declarationServer->stop(schedule.closeBy);
+        host.declarationServer.reset();
+        logStopped("declaration interface", schedule);
+    }
+    host.control->stop(schedule.closeBy);
+    if (host.server) {
+        stopServer(host, schedule);
+    }
+    host.control.reset();
+    logStopped("control role", schedule);
+}
+
 // Stops the entry role first, because its requests still need the control role and the other hosts.
-void stopHost(Host &host)
+void stopHost(Host &host, const StopSchedule &schedule)
 {
+    if (host.control) {
+        host.control->limitCalls(schedule.answerBy);
+    }
 #ifdef BANYAN_WITH_ENTRY
     if (host.entry) {
-        host.entry->stop();
+        host.entry->stop(schedule);
+        logStopped("entry role", schedule);
     }
 #endif
     if (host.gateway) {
-        host.gateway->stop();
+        host.gateway->stop(schedule);
         host.gateway.reset();
+        logStopped("gateway role", schedule);
     }
     if (host.control) {
-        host.control->leave();
-    }
-    host.declarationServer.reset();
-    if (host.control) {
-        host.control->stop();
+        stopControl(host, schedule);
     }
     if (host.server) {
-        host.server->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(2));
-        host.server->Wait();
+        stopServer(host, schedule);
     }
     host.metrics.reset();
 }
 
-// Reloads the settings that may change at runtime: the addresses of the control hosts. The entry role keeps its own.
-void reload(Host &host, const std::string &path)
+Duration stopGrace(const proto::Settings &settings)
 {
-    const auto settings = readSettings(path);
-    if (!settings) {
-        logError("settings not reloaded; the previous ones stay in effect", {{"reason", lastError().message}});
-        return;
+    const double seconds = settings.host().stop_grace_s();
+    if (seconds <= 0) {
+        logWarning("the settings state no grace of a shutdown; write [host] stop_grace_s",
+                   {{"assumed_ms", std::to_string(defaultStopGrace.count())}});
+        return defaultStopGrace;
     }
+    return fromSeconds(seconds);
+}
+
+void applySettings(Host &host, const proto::Settings &settings)
+{
     if (host.gateway) {
-        host.gateway->setControlHosts(
-            withPort(settings->entry().control_hosts(), settings->entry().control_rpc_port()));
+        host.gateway->applySettings(settings);
+    }
+#ifdef BANYAN_WITH_ENTRY
+    if (host.entry) {
+        host.entry->applySettings(settings);
     }
+#endif
     if (host.control) {
-        host.control->setSeeds(withPort(settings->control().seeds(), settings->control().seed_rpc_port()));
+        host.control->setSeeds(withPort(settings.control().seeds(), settings.control().seed_rpc_port()));
     }
-    logInfo("settings reloaded", {{"file", path}});
+}
+
+// Returns the signal, or 0 if none came within the timeout.
+int waitForSignal(const sigset_t &signals, Duration timeout)
+{
+    const Duration remaining = std::max(timeout, Duration(0));
+    const auto seconds = std::chrono::floor<std::chrono::seconds>(remaining);
+    const timespec limit{seconds.count(), std::chrono::nanoseconds(remaining - seconds).count()};
+    return std::max(0, sigtimedwait(&signals, nullptr, &limit));
+}
+
+// Waits for the signal that ends the host and applies changed settings meanwhile. Returns when the grace of the stop
+// began.
+Time serveUntilStopSignal(Host &host, SettingsWatch &watch)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    Time due = Clock::now() + settingsInterval;
+    while (true) {
+        int signal = waitForSignal(signals, due - Clock::now());
+        if (signal == 0) {
+            // A process that stood still sees the end of the timeout before a signal that came meanwhile.
+            signal = waitForSignal(signals, Duration(0));
+        }
+        if (signal == SIGTERM || signal == SIGINT) {
+            const Time begin = stopBegin(due, Clock::now());
+            logInfo("graceful shutdown started",
+                    {{"signal", strsignal(signal)}, {"late_ms", millisecondsText(Clock::now() - begin)}});
+            return begin;
+        }
+        if (signal == 0) {
+            due = Clock::now() + settingsInterval;
+        }
+        if (watch.check(signal == SIGHUP)) {
+            applySettings(host, watch.settings());
+        }
+    }
+}
+
+// The file may have changed since it was last looked at, and the change may be that of the grace.
+StopSchedule readStopSchedule(SettingsWatch &watch, Time begin)
+{
+    watch.check(true);
+    const Duration grace = stopGrace(watch.settings());
+    logInfo("grace of this shutdown", {{"ms", millisecondsText(grace)}});
+    return stopSchedule(begin, grace);
 }
 
 int run(const proto::Settings &settings, const std::string &path)
@@ -290,22 +386,14 @@
     Host host;
     if (!createRoles(host, settings) || !startServer(host, settings) || !startRoles(host, settings)) {
         logError("host failed to start", {{"reason", lastError().message}});
-        stopHost(host);
+        stopHost(host, stopSchedule(Clock::now(), stopGrace(settings)));
         return ExitFailed;
     }
     logInfo("host started", {{"rpc", settings.host().rpc_listen()}});
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    int signal = 0;
-    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP) {
-        reload(host, path);
-    }
-    logInfo("graceful shutdown started", {{"signal", strsignal(signal)}});
-    stopHost(host);
-    logInfo("graceful shutdown finished");
+    SettingsWatch watch(path, settings);
+    const Time begin = serveUntilStopSignal(host, watch);
+    stopHost(host, readStopSchedule(watch, begin));
+    logInfo("graceful shutdown finished", {{"ms", millisecondsText(Clock::now() - begin)}});
     return ExitOk;
 }
 
--- a/base/settings.cpp
+++ b/base/settings.cpp
@@ -6,9 +6,12 @@
 #include <SimpleIni.h>
 #include <google/protobuf/descriptor.h>
 #include <google/protobuf/message.h>
+#include <google/protobuf/util/message_differencer.h>
 
 #include <charconv>
+#include <cmath>
 #include <fstream>
+#include <limits>
 #include <sstream>
 
 #include "base/error.h"
@@ -22,6 +25,7 @@
 using google::protobuf::Descriptor;
 using google::protobuf::FieldDescriptor;
 using google::protobuf::Message;
+using google::protobuf::util::MessageDifferencer;
 
 // Position of a key in a settings file, for error messages.
 struct Location
@@ -88,10 +92,10 @@
     const auto [rest, code] = std::from_chars(text.data(), end, value);
     const bool bounded = rule.maximum() > rule.minimum();
     const auto number = static_cast<double>(value);
-    if (code != std::errc() || rest != end || (bounded && (number < rule.minimum() || number > rule.maximum()))) {
+    const bool isNumber = code == std::errc() && rest == end && std::isfinite(number);
+    if (!isNumber || (bounded && (number < rule.minimum() || number > rule.maximum()))) {
         std::ostringstream message;
-        message << std::fixed;
-        message.precision(0);
+        message.precision(std::numeric_limits<double>::digits10);
         message << locationPrefix(location) << "'" << text << "' is not accepted; write a number";
         if (bounded) {
             message << " from " << rule.minimum() << " to " << rule.maximum();
@@ -227,6 +231,14 @@
     return true;
 }
 
+// Whether a field has the same value in two messages of one type.
+bool equalValues(const Message &a, const Message &b, const FieldDescriptor *field)
+{
+    MessageDifferencer differencer;
+    const std::vector<const FieldDescriptor *> fields{field};
+    return differencer.CompareWithFields(a, b, fields, fields);
+}
+
 // Fails if a key that an enabled role needs is absent.
 bool checkRoleKey(bool present, const std::string &file, const std::string &section, const std::string &key)
 {
@@ -357,6 +369,24 @@
     return parseSettings(text.str(), path);
 }
 
+std::vector<std::string> changesForRestart(const proto::Settings &running, const proto::Settings &changed)
+{
+    std::vector<std::string> names;
+    const auto *sections = running.GetReflection();
+    for (int i = 0; i < proto::Settings::descriptor()->field_count(); ++i) {
+        const FieldDescriptor *section = proto::Settings::descriptor()->field(i);
+        const Message &before = sections->GetMessage(running, section);
+        const Message &after = sections->GetMessage(changed, section);
+        for (int k = 0; k < section->message_type()->field_count(); ++k) {
+            const FieldDescriptor *field = section->message_type()->field(k);
+            if (!field->options().GetExtension(proto::rule).reloaded() && !equalValues(before, after, field)) {
+                names.push_back("[" + section->name() + "] " + field->name());
+            }
+        }
+    }
+    return names;
+}
+
 std::string settingsHelp()
 {
     std::ostringstream out;
@@ -372,6 +402,9 @@
             } else if (!rule.fallback().empty()) {
                 out << " (default " << rule.fallback() << ")";
             }
+            if (rule.reloaded()) {
+                out << " (reloaded)";
+            }
             out << "\n";
         }
     }
--- a/base/settings.h
+++ b/base/settings.h
@@ -18,6 +18,9 @@
 // Reads and parses a file. Fails with ERROR_IO if it is unreadable, else like parseSettings().
 std::optional<proto::Settings> readSettings(const std::string &path);
 
+// Names, as "[section] key", the settings that differ and that a running host does not reload.
+std::vector<std::string> changesForRestart(const proto::Settings &running, const proto::Settings &changed);
+
 // List of all sections and keys with their meanings and defaults, for --help-settings and the operators' manual.
 std::string settingsHelp();
 
--- a/base/types.h
+++ b/base/types.h
@@ -50,6 +50,11 @@
     return duration + Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * maxClockDrift));
 }
 
+inline Duration fromSeconds(double value)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+}
+
 // Names of the resources that are each owned by one entry host, such as "pool:S/R".
 std::string customerResource(const std::string &customer);
 std::string poolResource(const std::string &service, const std::string &region);
--- a/control/host.cpp
+++ b/control/host.cpp
@@ -39,9 +39,6 @@
 // gone within the time after which its successor counts.
 constexpr milliseconds removeUnreachableAfter{2000};
 
-// Longest time that a planned end waits for the group.
-constexpr milliseconds leaveTimeout{2000};
-
 // With seeds, the gRPC address is the member's id, because the address is all that a host knows of the other members.
 std::string memberId(const proto::Settings &settings)
 {
@@ -105,8 +102,7 @@
     bool open();
     bool start();
     void startPlatformPoller();
-    void leave();
-    void stop();
+    void stop(Time deadline);
     void tick();
     void scheduleTick();
     void onNodeChange();
@@ -236,15 +232,7 @@
     platformPoller = std::make_unique<PlatformPoller>(std::move(options));
 }
 
-void ControlHost::Private::leave()
-{
-    if (joiner) {
-        joiner.reset();
-        leaveGroup(*node, *leader, settings.host().rpc_listen(), Clock::now() + leaveTimeout);
-    }
-}
-
-void ControlHost::Private::stop()
+void ControlHost::Private::stop(Time deadline)
 {
     if (stopped) {
         return;
@@ -252,7 +240,10 @@
     stopped = true;
     platformPoller.reset();
     joiner.reset();
-    operators.reset();
+    if (operators) {
+        operators->stop(deadline);
+        operators.reset();
+    }
     tokenRelay->stop();
     asio::post(loop, [this] { sync->stop(); });
 }
@@ -260,7 +251,7 @@
 // The gRPC server was shut down before, so no service uses the event loop any more.
 ControlHost::Private::~Private()
 {
-    stop();
+    stop(Clock::now());
     if (services) {
         services->stop();
     }
@@ -323,14 +314,24 @@
     return d->start();
 }
 
-void ControlHost::leave()
+void ControlHost::limitCalls(Time end)
 {
-    d->leave();
+    if (d->leader) {
+        d->leader->limitCalls(end);
+    }
+}
+
+void ControlHost::leave(Time deadline)
+{
+    if (d->joiner) {
+        d->joiner.reset();
+        leaveGroup(*d->node, *d->leader, d->settings.host().rpc_listen(), deadline);
+    }
 }
 
-void ControlHost::stop()
+void ControlHost::stop(Time deadline)
 {
-    d->stop();
+    d->stop(deadline);
 }
 
 } // namespace banyanledge
--- a/control/host.h
+++ b/control/host.h
@@ -37,14 +37,17 @@
     // with the reason in lastError(), when the operators file or the address can't be used.
     bool start();
 
+    // Ends the calls of this host to the leader at `end`, so that orders in progress are answered before a planned end.
+    void limitCalls(Time end);
+
     // Leaves the group before a planned end, so that no vote of an ended host stays in it: hands over leadership and
-    // waits for the removal, for at most leaveTimeout. Must be called before stop(), while the gRPC server still runs.
-    // Does nothing without seeds, because the host could not join again.
-    void leave();
+    // waits for the removal. Must be called before stop(), while the gRPC server still runs. Does nothing without
+    // seeds, because the host could not join again.
+    void leave(Time deadline);
 
-    // Stops the platform poller, the joining and, after the requests in flight, the HTTP API. Sync calls are refused
-    // from then on.
-    void stop();
+    // Stops the platform poller, the joining and, after the requests in flight, the HTTP API, which waits for them
+    // until the deadline. Sync calls are refused from then on.
+    void stop(Time deadline);
 
 private:
     class Private;
--- a/control/join.cpp
+++ b/control/join.cpp
@@ -27,9 +27,6 @@
 // Pause between two checks whether a step of leaving is done.
 constexpr milliseconds leaveInterval{10};
 
-// Time for another host to take over leadership; an election timeout and two round trips.
-constexpr milliseconds handoverTimeout{1000};
-
 // Interval at which the same outcome of repeated requests is logged again.
 constexpr milliseconds repeatedLogInterval{10000};
 
@@ -111,7 +108,8 @@
 
 void leaveGroup(Node &node, LeaderClient &leader, const std::string &ownAddress, Time deadline)
 {
-    const Time handoverEnd = std::min(deadline, Clock::now() + handoverTimeout);
+    const Time begin = Clock::now();
+    const Time handoverEnd = begin + (deadline - begin) / 2;
     const bool led = node.status().role() == "leader";
     node.transferLeadership();
     while (node.status().role() == "leader" && Clock::now() < handoverEnd) {
--- a/control/leader.cpp
+++ b/control/leader.cpp
@@ -2,6 +2,8 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <algorithm>
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -52,6 +54,7 @@
     std::function<std::string()> leaderAddress;
     std::function<std::string()> contactAddress; // may be empty
     ChannelCache channels;
+    std::atomic<Time> callsEnd{Time::max()}; // of all calls
     std::mutex mutex;
     std::map<std::string, CallTimeout> timeouts; // of attempts, by address; guarded by mutex
 
@@ -121,12 +124,12 @@
                                  const Request &request, Reply &reply, Time deadline)
 {
     std::string leaderHint;
-    while (Clock::now() < deadline) {
+    while (Clock::now() < std::min(deadline, callsEnd.load())) {
         const std::string address = leaderHint.empty() ? nextAddress() : leaderHint;
         leaderHint.clear();
         if (!address.empty()) {
             reply.Clear();
-            if (attempt(method, address, request, reply, deadline)) {
+            if (attempt(method, address, request, reply, std::min(deadline, callsEnd.load()))) {
                 if (resultOf(reply).kind() != proto::ERROR_UNAVAILABLE) {
                     return true;
                 }
@@ -147,6 +150,11 @@
 
 LeaderClient::~LeaderClient() = default;
 
+void LeaderClient::limitCalls(Time end)
+{
+    d->callsEnd = end;
+}
+
 proto::CommandResult LeaderClient::propose(const proto::Command &command, Time deadline)
 {
     proto::ProposeReply reply;
--- a/control/leader.h
+++ b/control/leader.h
@@ -50,6 +50,10 @@
     // Returns the revision of the newest committed entry. Returns nullopt when no leader confirmed it in time.
     std::optional<Revision> newestRevision(Time deadline);
 
+    // Ends all calls at `end` even if their deadlines are later. A call to a host that is in progress keeps its own
+    // timeout, at most 1.6 s.
+    void limitCalls(Time end);
+
     // Returns the state of the leader, requested once without retries. The id is empty when the leader did not answer.
     proto::ControlStatus status(Time deadline);
 
--- a/control/operatorserver.cpp
+++ b/control/operatorserver.cpp
@@ -84,9 +84,6 @@
 // body, the connection is closed.
 constexpr std::uint64_t maxReadBodyBytes = 16UL * 1024 * 1024;
 
-// How long the server waits for responses to be written when it stops.
-constexpr std::chrono::seconds shutdownTimeout{2};
-
 // Counts the requests whose response has not been written yet.
 struct RequestCounter
 {
@@ -96,7 +93,7 @@
 
     void begin();
     void end();
-    void waitUntilIdle();
+    void waitUntilIdle(Time deadline);
 };
 
 void RequestCounter::begin()
@@ -112,10 +109,10 @@
     idle.notify_all();
 }
 
-void RequestCounter::waitUntilIdle()
+void RequestCounter::waitUntilIdle(Time deadline)
 {
     std::unique_lock lock(mutex);
-    idle.wait_for(lock, shutdownTimeout, [this] { return count == 0; });
+    idle.wait_until(lock, deadline, [this] { return count == 0; });
 }
 
 ApiRequest toApiRequest(const restinio::request_t &request)
@@ -158,6 +155,7 @@
     WorkerPool pool{workerThreads};
     const std::shared_ptr<ClientConnections> connections = std::make_shared<ClientConnections>(pool);
     std::unique_ptr<HttpServer> server;
+    bool stopped = false;
 };
 
 OperatorServer::OperatorServer(std::unique_ptr<Private> priv)
@@ -167,8 +165,16 @@
 
 OperatorServer::~OperatorServer()
 {
+    stop(Clock::now());
+}
+
+void OperatorServer::stop(Time deadline)
+{
+    if (std::exchange(d->stopped, true)) {
+        return;
+    }
+    d->activeRequests.waitUntilIdle(deadline);
     d->pool.join();
-    d->activeRequests.waitUntilIdle();
     d->server->stop();
     d->server->wait();
 }
--- a/decide/bucket.cpp
+++ b/decide/bucket.cpp
@@ -41,11 +41,6 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-Duration fromSeconds(double value)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-}
-
 } // namespace
 
 Bucket::Bucket(RateLimit limit, Time start, std::uint64_t firstGrantId)
--- a/decide/pool.cpp
+++ b/decide/pool.cpp
@@ -54,11 +54,6 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-Duration fromSeconds(double value)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-}
-
 void updateAverage(double &mean, double value)
 {
     mean = mean <= 0 ? value : mean + (value - mean) * averageWeight;
--- a/entry/host.cpp
+++ b/entry/host.cpp
@@ -82,7 +82,7 @@
     RequestPathDependencies deps();
     void report(proto::SyncRequest &request);
     void waitUntilLeaving(Time deadline);
-    void handOver();
+    void handOver(Time deadline);
     void drain(Time deadline);
 
     const proto::Settings settings;
@@ -176,13 +176,13 @@
     }
 }
 
-// Hands over the resources of this host and waits until that is done, at most twice leavingTimeout.
-void EntryHost::Private::handOver()
+// Hands over the resources of this host and waits until that is done.
+void EntryHost::Private::handOver(Time deadline)
 {
     auto done = std::make_shared<std::promise<void>>();
     auto finished = done->get_future();
     resourceManager.handOver([done] { done->set_value(); });
-    finished.wait_for(2 * leavingTimeout);
+    finished.wait_until(deadline);
 }
 
 // Waits until all responses have been written and all claims settled, or the deadline has passed.
@@ -192,8 +192,9 @@
         std::this_thread::sleep_for(shutdownPollInterval);
     }
     if (path->inFlight() > 0) {
-        logWarning("graceful shutdown ends with requests in flight; raise stop_timeout_ms to let them finish",
-                   {{"in_flight", std::to_string(path->inFlight())}});
+        logWarning(
+            "graceful shutdown ends with requests in flight; raise [host] stop_grace_s if the platform allows it",
+            {{"in_flight", std::to_string(path->inFlight())}});
     }
 }
 
@@ -234,24 +235,26 @@
     return true;
 }
 
-void EntryHost::stop()
+void EntryHost::stop(const StopSchedule &schedule)
 {
     if (!std::exchange(d->started, false)) {
         return;
     }
-    const Time startTime = Clock::now();
-    const Time deadline = startTime + milliseconds(d->settings.entry().stop_timeout_ms());
     d->controlClient.setState(proto::MEMBER_LEAVING);
-    d->waitUntilLeaving(std::min(deadline, startTime + leavingTimeout));
-    d->handOver();
-    // Other hosts may name this one for a freshness lease after the change, and clients use a look-up for its lifetime.
-    const auto lifetime = freshnessLease + milliseconds(d->settings.entry().lookup_lifetime_ms());
-    std::this_thread::sleep_until(std::min(deadline, Clock::now() + lifetime));
+    d->waitUntilLeaving(std::min(schedule.acceptUntil, Clock::now() + leavingTimeout));
+    d->handOver(std::min(schedule.acceptUntil, Clock::now() + 2 * leavingTimeout));
+    const milliseconds lifetime(d->settings.entry().lookup_lifetime_ms());
+    std::this_thread::sleep_until(acceptDeadline(schedule, lifetime, Clock::now()));
     d->server->closeAfterResponses();
-    d->drain(deadline);
+    d->drain(schedule.closeBy);
     d->server->stop();
     d->controlClient.stop();
     logInfo("entry role stopped", {{"in_flight", std::to_string(d->path->inFlight())}});
 }
 
+void EntryHost::applySettings(const proto::Settings &settings)
+{
+    d->controlClient.setControlHosts(withPort(settings.entry().control_hosts(), settings.entry().control_rpc_port()));
+}
+
 } // namespace banyanledge
--- a/entry/host.h
+++ b/entry/host.h
@@ -8,6 +8,7 @@
 #include <grpcpp/impl/service_type.h>
 
 #include "base/types.h"
+#include "decide/stopschedule.h"
 
 namespace banyanledge
 {
@@ -26,8 +27,11 @@
     bool start();
 
     // Graceful shutdown: announces that the host leaves, hands over its resources, serves requests for the lifetime of
-    // a look-up, then waits for requests in flight. Blocks until done, at most stop_timeout_ms.
-    void stop();
+    // a look-up, then waits for requests in flight. Blocks until done, until closeBy at the latest.
+    void stop(const StopSchedule &schedule);
+
+    // Applies the settings that are reloaded: the RPC addresses of the control hosts.
+    void applySettings(const proto::Settings &settings);
 
 private:
     class Private;
--- a/gateway/host.cpp
+++ b/gateway/host.cpp
@@ -3,7 +3,6 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
-#include <future>
 #include <mutex>
 #include <thread>
 
@@ -12,6 +11,8 @@
 #include "base/settings.h"
 #include "base/timer.h"
 #include "fleet/controlclient.h"
+#include "gateway/text.h"
+#include "net/drain.h"
 
 namespace banyanledge
 {
@@ -28,19 +29,6 @@
 // Timeout of a call for tokens. No request waits longer for its token.
 constexpr milliseconds tokenTimeout{600};
 
-// Polling interval for the requests in flight during a graceful shutdown.
-constexpr milliseconds shutdownPollInterval{20};
-
-// Time after the start of a shutdown during which new connections are still accepted, because clients still use earlier
-// look-up responses that name this host.
-constexpr milliseconds lookupGracePeriod{2500};
-
-// Idle connections are closed at the latest this long before the end of the shutdown.
-constexpr milliseconds idleCloseMargin{1000};
-
-// Time before the end of this host by which all requests are answered, so that the answers can be written out.
-constexpr milliseconds finalAnswerMargin{300};
-
 proto::Member localMember(const proto::Settings &settings)
 {
     proto::Member self;
@@ -112,17 +100,6 @@
     void reportViewAge(Time now);
     bool ready() const;
 
-    // Runs a function on the event loop's thread, waits for it and returns its result.
-    template<typename Function>
-    auto runOnLoop(Function function)
-    {
-        // Shared with the loop: the result is available before the loop has finished with the task.
-        auto task = std::make_shared<std::packaged_task<decltype(function())()>>(std::move(function));
-        auto result = task->get_future();
-        asio::post(loop, [task] { (*task)(); });
-        return result.get();
-    }
-
     const Options options;
     asio::io_context loop{1};
     asio::executor_work_guard<asio::io_context::executor_type> workGuard{loop.get_executor()};
@@ -137,6 +114,7 @@
     Time lastReportAt{}; // guarded by reportMutex
     Time reportDue{}; // used on the loop only
     bool leaving = false; // used on the loop only
+    Duration lookupLifetime{}; // used on the loop only
     bool wasReady = false;
     bool viewWasOld = false;
     std::thread thread;
@@ -242,7 +220,7 @@
         serverOptions.address = address;
         serverOptions.limits = [] { return HttpLimits(); };
         serverOptions.handle = [this, handler](const std::shared_ptr<HttpCall> &call) {
-            handler(gateway, ready(), *call);
+            handler(gateway, {ready(), lookupLifetime}, *call);
         };
         return HttpServer::start(loop, serverOptions);
     };
@@ -284,6 +262,7 @@
     if (!d->listen()) {
         return false;
     }
+    applySettings(d->options.settings);
     d->updateReport();
     d->controlClient.onChange([priv = d.get()](const std::shared_ptr<const View> &view) {
         asio::post(priv->loop, [priv, view] { priv->gateway.setView(view); });
@@ -294,40 +273,29 @@
     return true;
 }
 
-void GatewayHost::stop()
+void GatewayHost::stop(const StopSchedule &schedule)
 {
-    const Time startTime = Clock::now();
-    const Time deadline = startTime + milliseconds(d->options.settings.gateway().stop_timeout_ms());
-    d->runOnLoop([priv = d.get(), deadline] {
+    const Time acceptUntil = runOnLoop(d->loop, [priv = d.get(), schedule] {
         priv->leaving = true;
-        priv->gateway.beginStop(deadline - finalAnswerMargin);
+        priv->gateway.beginStop(schedule.answerBy);
         priv->clientServer->closeAfterResponses();
+        return acceptDeadline(schedule, priv->lookupLifetime, Clock::now());
     });
     d->controlClient.setState(proto::MEMBER_LEAVING);
-    // Connections count too: the response to a finished request may not be written yet.
-    const auto countOpen = [priv = d.get()] {
-        return priv->runOnLoop([priv] { return priv->gateway.inFlight() + priv->clientServer->connections(); });
-    };
-    while (Clock::now() < std::min(startTime + lookupGracePeriod, deadline - idleCloseMargin)) {
-        std::this_thread::sleep_for(shutdownPollInterval);
-    }
-    d->runOnLoop([priv = d.get()] {
-        priv->clientServer->stopAccepting();
-        priv->clientServer->closeIdleConnections();
-    });
-    std::size_t remaining = countOpen();
-    while (remaining > 0 && Clock::now() < deadline) {
-        std::this_thread::sleep_for(shutdownPollInterval);
-        d->runOnLoop([priv = d.get()] { priv->clientServer->closeIdleConnections(); });
-        remaining = countOpen();
-    }
+    std::this_thread::sleep_until(acceptUntil);
+    runOnLoop(d->loop, [priv = d.get()] { priv->clientServer->stopAccepting(); });
+    std::size_t left = closeConnections(d->loop, *d->clientServer, schedule.closeBy);
+    left += runOnLoop(d->loop, [priv = d.get()] { return priv->gateway.inFlight(); });
     logInfo("gateway stopped; left is the number of requests and connections still open",
-            {{"left", std::to_string(remaining)}});
+            {{"left", std::to_string(left)}, {"ms", millisecondsText(Clock::now() - schedule.begin)}});
 }
 
-void GatewayHost::setControlHosts(const std::vector<std::string> &addresses)
+void GatewayHost::applySettings(const proto::Settings &settings)
 {
-    d->controlClient.setControlHosts(addresses);
+    d->controlClient.setControlHosts(withPort(settings.entry().control_hosts(), settings.entry().control_rpc_port()));
+    asio::post(d->loop, [priv = d.get(), lifetime = fromSeconds(settings.gateway().lookup_lifetime_s())] {
+        priv->lookupLifetime = lifetime;
+    });
 }
 
 } // namespace banyanledge
--- a/gateway/host.h
+++ b/gateway/host.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/types.h"
+#include "decide/stopschedule.h"
 #include "gateway/gateway.h"
 
 namespace banyanledge
@@ -16,8 +17,15 @@
 class GatewayHost
 {
 public:
+    // State of the host that the responses to the platform's checks and to look-ups depend on.
+    struct Status
+    {
+        bool ready = false; // for clients
+        Duration lookupLifetime{}; // of a look-up response
+    };
+
     // Responds to a request on the readiness or the look-up address; runs on the gateway's event loop.
-    using Handler = std::function<void(const Gateway &gateway, bool ready, HttpCall &call)>;
+    using Handler = std::function<void(const Gateway &gateway, const Status &status, HttpCall &call)>;
 
     struct Options
     {
@@ -34,11 +42,11 @@
     bool start();
 
     // Shuts down gracefully: reports the host as leaving, completes the requests in progress and closes client
-    // connections after their responses. Returns when no request or connection is left, or after stop_timeout_ms.
-    void stop();
+    // connections after their responses. Returns when no request or connection is left, at closeBy at the latest.
+    void stop(const StopSchedule &schedule);
 
-    // Replaces the RPC addresses of the control hosts after the settings were reloaded.
-    void setControlHosts(const std::vector<std::string> &addresses);
+    // Applies the settings that are reloaded: the RPC addresses of the control hosts and the lifetime of look-ups.
+    void applySettings(const proto::Settings &settings);
 
 private:
     class Private;
--- a/tests/control_group.h
+++ b/tests/control_group.h
@@ -74,7 +74,7 @@
     void kill(int number)
     {
         Running running = std::move(m_hosts.extract(number).mapped());
-        running.host->stop();
+        running.host->stop(Clock::now());
         running.server->Shutdown(std::chrono::system_clock::now());
         running.server->Wait();
     }
--- a/tests/gateway.cmake
+++ b/tests/gateway.cmake
@@ -16,3 +16,6 @@
 add_test(NAME soak_short COMMAND ${CMAKE_SOURCE_DIR}/tests/soak.py --seed 1 --seconds 8
                                  --daemon $<TARGET_FILE:banyanledged>)
 set_tests_properties(soak_short PROPERTIES LABELS processes TIMEOUT 180)
+banyan_test(test_stops unit test_stops.cpp LINK banyan_apps banyan_decide)
+add_test(NAME stop_times COMMAND ${CMAKE_SOURCE_DIR}/tests/stop_times.py --seed 1 --daemon $<TARGET_FILE:banyanledged>)
+set_tests_properties(stop_times PROPERTIES LABELS processes TIMEOUT 120)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -13,6 +13,7 @@
   - a request that crashes servers is kept away from them after three crashes and answered with 502; no other is blocked
   - requests that no fault disturbs are answered with 200
   - a request on a kept connection that a server completed is answered, also if its gateway stood still for a while
+  - a gateway ends within the grace of its settings
   - a server that started again under its id receives no more requests in any second of its warm-up than it tolerates
 Prints the seed, a line for each failed check, and "N passed, N failed" at the end; exits with 1 if a check failed.
 """
@@ -71,6 +72,7 @@
                  ("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK", "")]
 RESTART_SERIES, MAX_RESTARTED_TOGETHER = 3, 3  # series of starts at the same time, and servers in one of them
 LONG_STALL_S = 0.05  # of this script, reported with a failed check because arrivals are observed late
+GRACE_S = 2.0, 8.0  # of processes, from SIGTERM on
 QUIET_S = 12.0  # phase without faults: until processes are in touch, crashes, BLOCKING_BOUND_S, and as long to count
 
 
@@ -253,6 +255,7 @@
         self.arguments = arguments
         self.random = random.Random(arguments.seed)
         self.head_random = random.Random(arguments.seed)  # apart, so that heads change no other event of a seed
+        self.grace_random, self.grace = random.Random(arguments.seed), {}  # apart too; seconds by process name
         self.folder = tempfile.mkdtemp(prefix="banyanledge-soak-")
         self.failures, self.check_count, self.served = [], 0, 0
         self.undisturbed_count, self.kept_answers, self.lost_answers = 0, 0, 0  # requests; answers on kept connections
@@ -506,10 +509,12 @@
     # ------------------------------------------------------------------ processes of the system
     def write_settings(self, name, zone, text):
         region = ZONES[zone]
+        self.grace[name] = round(self.grace_random.uniform(*GRACE_S), 2)
         path = os.path.join(self.folder, f"{name}.ini")
         with open(path, "w") as file:
             file.write(f"[host]\nid = {name}\nregion = {region}\navailability_zone = {zone}\n"
-                       f"rpc_listen = {self.rpc_address[name]}\nworkers = 1\n{text}")
+                       f"rpc_listen = {self.rpc_address[name]}\nworkers = 1\n"
+                       f"stop_grace_s = {self.grace[name]}\n{text}")
 
     def choose_addresses(self):
         for _ in range(CONTROL_HOSTS):
@@ -569,7 +574,12 @@
         if process.returncode is None:
             process.send_signal(signal.SIGCONT)
             process.send_signal(signal_number)
+        sent, grace = time.monotonic(), self.grace[name]
         await process.wait()
+        took = time.monotonic() - sent
+        stalled = any(last >= sent for _, last in self.stalls)  # the end may have been seen late
+        self.check(took <= grace or name not in self.gateways or stalled,
+                   f"{name} ended {took:.2f} s after signal {signal_number}, its grace is {grace} s")
 
     # ------------------------------------------------------------------ operator and callers
     def declaration(self, version):
--- a/tests/test_latency.cpp
+++ b/tests/test_latency.cpp
@@ -63,7 +63,7 @@
     ~DistantGroup()
     {
         for (int i = 0; i < memberCount; ++i) {
-            m_hosts[i]->stop();
+            m_hosts[i]->stop(Clock::now());
             m_servers[i]->Shutdown(std::chrono::system_clock::now());
         }
         m_hosts.clear();
--- a/tests/test_members.cpp
+++ b/tests/test_members.cpp
@@ -8,6 +8,14 @@
 
 using namespace banyanledge;
 
+namespace
+{
+
+// Part of a planned end in which a host leaves its group: a third of a grace of 6 s.
+constexpr milliseconds leaveTimeout{2000};
+
+} // namespace
+
 // Guards against a host with an empty disk that drops its answers to a leader that is none of its seeds, whose address
 // it does not know: it would never become a voter again.
 TEST_CASE("a host that lost its disk joins again under a leader that is not one of its seeds")
@@ -84,11 +92,11 @@
     group.start(6, {1, 2, 3});
     REQUIRE(eventually([&] { return group.isVoter(6); }));
     const int leader = group.waitLeader();
-    group.host(leader).leave();
+    group.host(leader).leave(Clock::now() + leaveTimeout);
     CHECK_FALSE(group.status(leader).role() == "leader");
     CHECK(eventually([&] { return group.voters().size() == 5 && !group.isVoter(leader); }));
     const auto others = group.others(leader);
-    group.host(others.front()).leave();
+    group.host(others.front()).leave(Clock::now() + leaveTimeout);
     CHECK(group.voters().size() == 4);
     CHECK_FALSE(group.isVoter(others.front()));
 }
@@ -98,8 +106,8 @@
 {
     ControlGroup group(5);
     const auto others = group.others(group.waitLeader());
-    group.host(others[0]).leave();
-    group.host(others[1]).leave();
+    group.host(others[0]).leave(Clock::now() + leaveTimeout);
+    group.host(others[1]).leave(Clock::now() + leaveTimeout);
     CHECK(group.voters().size() == 4);
     CHECK(group.isVoter(others[1]));
 }
--- a/tests/test_operators.cpp
+++ b/tests/test_operators.cpp
@@ -94,7 +94,7 @@
 
 ControlHostFixture::~ControlHostFixture()
 {
-    m_host->stop();
+    m_host->stop(Clock::now());
     m_server->Shutdown();
     m_server->Wait();
     m_host.reset();
--- a/tests/test_orders.cpp
+++ b/tests/test_orders.cpp
@@ -107,6 +107,12 @@
         return send(m_declarationPort, platform::evacuationPath + zone + "/start", "");
     }
 
+    void stop(Time deadline)
+    {
+        m_objectServer->stop(deadline);
+        m_declarationServer->stop(deadline);
+    }
+
 private:
     static Api::Options options(const std::string &operatorsFile)
     {
@@ -273,3 +279,25 @@
         CHECK_FALSE(customer.active());
     }
 }
+
+// Guards against a planned stop that drops the responses to orders in progress, or that waits for a leader beyond its
+// end.
+TEST_CASE("orders in progress at a planned stop are answered by the time at which calls to the leader end")
+{
+    CutLink link;
+    OperatorInterfaces operators(link.throughLink);
+    link.cut();
+    auto customer = operators.createCustomer("late");
+    auto evacuation = operators.evacuate("late");
+    std::this_thread::sleep_for(milliseconds(100));
+    const Time callsEnd = Clock::now() + milliseconds(300);
+    link.throughLink.limitCalls(callsEnd);
+    operators.stop(callsEnd + milliseconds(1600)); // the timeout of one call that is in progress
+    CHECK(Clock::now() < callsEnd + milliseconds(1600));
+    for (asio::ip::tcp::socket *socket : {&customer, &evacuation}) {
+        std::string response;
+        asio::error_code error;
+        asio::read_until(*socket, asio::dynamic_buffer(response), "\r\n\r\n", error);
+        CHECK(response.find("HTTP/1.1 503 ") == 0);
+    }
+}
