End the request to join the group when a control host stops

Cause: the end of GroupJoiner waited for its call, up to 2 s. It makes such calls when the host has no leader, so also when a stop comes beside a loss of the core. The stop's own waits came on top of it.

Ruled out: slow syncs alone (three runs beside three writers that sync 64 MB each, none failed).

Change: LeaderClient::cancelCalls() ends the calls in progress; the joiner calls it when it ends.

--- a/control/join.cpp
+++ b/control/join.cpp
@@ -45,16 +45,18 @@
         : ownAddress(std::move(initialAddress))
         , contacts(initialContacts)
         , status(std::move(initialStatus))
+        , client([this] { return status().leader_address(); }, [this] { return contacts.next(status().config()); })
     {
     }
 
     void run();
-    void check(LeaderClient &client, Time now);
+    void check(Time now);
     void logOutcome(const proto::CommandResult &result, Time now);
 
     const std::string ownAddress;
     GroupContacts &contacts;
     const std::function<proto::ControlStatus()> status;
+    LeaderClient client;
     Time lastLeaderTime{}; // last check at which a leader was known
     std::optional<proto::ErrorKind> loggedOutcome;
     Time loggedTime{};
@@ -66,19 +68,17 @@
 
 void GroupJoiner::Private::run()
 {
-    LeaderClient client([this] { return status().leader_address(); },
-                        [this] { return contacts.next(status().config()); });
     lastLeaderTime = Clock::now();
     std::unique_lock lock(mutex);
     while (!stopping) {
         lock.unlock();
-        check(client, Clock::now());
+        check(Clock::now());
         lock.lock();
         wake.wait_for(lock, joinInterval, [this] { return stopping; });
     }
 }
 
-void GroupJoiner::Private::check(LeaderClient &client, Time now)
+void GroupJoiner::Private::check(Time now)
 {
     const auto current = status();
     if (!current.leader().empty()) {
@@ -136,6 +136,7 @@
         const std::lock_guard lock(d->mutex);
         d->stopping = true;
     }
+    d->client.cancelCalls();
     d->wake.notify_all();
     d->thread.join();
 }
--- a/control/leader.cpp
+++ b/control/leader.cpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <set>
 #include <thread>
 
 #include "banyanledge.grpc.pb.h"
@@ -57,10 +58,12 @@
     std::atomic<Time> callsEnd{Time::max()}; // of all calls
     std::mutex mutex;
     std::map<std::string, CallTimeout> timeouts; // of attempts, by address; guarded by mutex
+    std::set<grpc::ClientContext *> outstanding; // of attempts; guarded by mutex
 
     std::string nextAddress() const;
     Duration attemptTimeout(const std::string &address);
     void recordAttempt(const std::string &address, const grpc::Status &status, Duration took);
+    void setOutstanding(grpc::ClientContext &context, bool isOutstanding);
 
     // One attempt at a host.
     template<typename Request, typename Reply>
@@ -103,6 +106,19 @@
     }
 }
 
+void LeaderClient::Private::setOutstanding(grpc::ClientContext &context, bool isOutstanding)
+{
+    const std::lock_guard lock(mutex);
+    if (!isOutstanding) {
+        outstanding.erase(&context);
+        return;
+    }
+    outstanding.insert(&context);
+    if (callsEnd.load() == Time{}) {
+        context.TryCancel(); // cancelCalls() came before this attempt
+    }
+}
+
 template<typename Request, typename Reply>
 bool LeaderClient::Private::attempt(grpc::Status (Stub::*method)(grpc::ClientContext *, const Request &, Reply *),
                                     const std::string &address, const Request &request, Reply &reply, Time deadline)
@@ -113,7 +129,9 @@
     context.set_deadline(std::chrono::system_clock::now()
                          + std::chrono::duration_cast<std::chrono::system_clock::duration>(timeout));
     const auto stub = proto::Control::NewStub(channels.channel(address, start));
+    setOutstanding(context, true);
     const grpc::Status status = ((*stub).*method)(&context, request, &reply);
+    setOutstanding(context, false);
     recordAttempt(address, status, Clock::now() - start);
     return status.ok();
 }
@@ -155,6 +173,15 @@
     d->callsEnd = end;
 }
 
+void LeaderClient::cancelCalls()
+{
+    limitCalls(Time{});
+    const std::lock_guard lock(d->mutex);
+    for (grpc::ClientContext *context : d->outstanding) {
+        context->TryCancel();
+    }
+}
+
 proto::CommandResult LeaderClient::propose(const proto::Command &command, Time deadline)
 {
     proto::ProposeReply reply;
--- a/control/leader.h
+++ b/control/leader.h
@@ -54,6 +54,9 @@
     // timeout, at most 1.6 s.
     void limitCalls(Time end);
 
+    // Ends all calls at once, those in progress too, and refuses later ones.
+    void cancelCalls();
+
     // Returns the state of the leader, requested once without retries. The id is empty when the leader did not answer.
     proto::ControlStatus status(Time deadline);
 
--- a/tests/test_members.cpp
+++ b/tests/test_members.cpp
@@ -1,6 +1,10 @@
 // Membership of the control group with real control hosts: lost disks, replaced and returning hosts, planned ends.
 // The rules are in section 4.1 of docs/design.md.
+#include <asio.hpp>
+
+#include <optional>
 #include <set>
+#include <thread>
 
 #include "control/contacts.h"
 #include "control/join.h"
@@ -101,6 +105,21 @@
     CHECK_FALSE(group.isVoter(others.front()));
 }
 
+// Guards against a planned end that waits for a request to join that nobody answers, longer than its grace may be.
+TEST_CASE("the end of the joiner does not wait for an answer")
+{
+    asio::io_context loop;
+    // Connections wait in the queue of the system and are never answered.
+    const asio::ip::tcp::acceptor silent(loop, {asio::ip::make_address("127.0.0.1"), 0});
+    GroupContacts contacts("127.0.0.1:1", {"127.0.0.1:" + std::to_string(silent.local_endpoint().port())});
+    std::optional<GroupJoiner> joiner;
+    joiner.emplace("127.0.0.1:1", contacts, [] { return proto::ControlStatus(); });
+    std::this_thread::sleep_for(milliseconds(100));
+    const Time begin = Clock::now();
+    joiner.reset();
+    CHECK(Clock::now() - begin < milliseconds(200));
+}
+
 // Guards against planned ends after which an acknowledged entry would be stored on too few disks.
 TEST_CASE("a host that ends as planned stays a voter if the others would be too few")
 {
