Count a late stop signal only beyond 250 ms, and warn of a missing grace at the start

A process that is short of processor time took its grace for shorter than it is by as much as it was late, which could end requests before the last sixth. Only a process that stood still for longer counts its grace from when it was due. The warning of a missing grace came only when the stop had begun.

--- a/apps/banyanledged.cpp
+++ b/apps/banyanledged.cpp
@@ -309,12 +309,15 @@
 Duration stopGrace(const proto::Settings &settings)
 {
     const double seconds = settings.host().stop_grace_s();
-    if (seconds <= 0) {
+    return seconds > 0 ? fromSeconds(seconds) : defaultStopGrace;
+}
+
+void warnWithoutGrace(const proto::Settings &settings)
+{
+    if (settings.host().stop_grace_s() <= 0) {
         logWarning("the settings state no grace of a shutdown; write [host] stop_grace_s",
                    {{"assumed_ms", std::to_string(defaultStopGrace.count())}});
-        return defaultStopGrace;
     }
-    return fromSeconds(seconds);
 }
 
 void applySettings(Host &host, const proto::Settings &settings)
@@ -368,6 +371,7 @@
         }
         if (watch.check(signal == SIGHUP)) {
             applySettings(host, watch.settings());
+            warnWithoutGrace(watch.settings());
         }
     }
 }
@@ -390,6 +394,7 @@
         return ExitFailed;
     }
     logInfo("host started", {{"rpc", settings.host().rpc_listen()}});
+    warnWithoutGrace(settings);
     SettingsWatch watch(path, settings);
     const Time begin = serveUntilStopSignal(host, watch);
     stopHost(host, readStopSchedule(watch, begin));
--- a/decide/stopschedule.cpp
+++ b/decide/stopschedule.cpp
@@ -31,7 +31,7 @@
 
 Time stopBegin(Time due, Time now)
 {
-    return std::min(due, now);
+    return now > due + signalDelayTolerance ? due : now;
 }
 
 } // namespace banyanledge
--- a/decide/stopschedule.h
+++ b/decide/stopschedule.h
@@ -33,6 +33,9 @@
 // Returns until when a control host that begins to leave its group at `now` waits for the others.
 Time leaveDeadline(const StopSchedule &schedule, Time now);
 
+// A process that is only short of processor time takes a signal up to this late.
+constexpr milliseconds signalDelayTolerance{250};
+
 // Returns when the grace of a process began that takes SIGTERM from the kernel at `now` and was due to look for signals
 // at `due`. A process that stood still takes the signal late, and its grace ran meanwhile.
 Time stopBegin(Time due, Time now);
--- a/tests/test_stops.cpp
+++ b/tests/test_stops.cpp
@@ -94,6 +94,7 @@
 {
     const Time due{std::chrono::hours(1)};
     CHECK(stopBegin(due, due - milliseconds(100)) == due - milliseconds(100));
+    CHECK(stopBegin(due, due + signalDelayTolerance) == due + signalDelayTolerance);
     CHECK(stopBegin(due, due + milliseconds(4000)) == due);
 }
 
