Repeat the tests' requests to control hosts with one change id

Cause: Fleet::callAnyControl sends a request to the next control host after a 503, which also means that the outcome is unknown, and named no change id; the id of the shift is used once in a new fleet, so that only an earlier attempt of the same call can have created it. The server did what its interface promises. With a change id the next host returns the first result, as the command line does it.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -306,8 +306,12 @@
     return client.send(request);
 }
 
-HttpReply Fleet::callAnyControl(HttpClient &client, const HttpRequest &request) const
+HttpReply Fleet::callAnyControl(HttpClient &client, HttpRequest request) const
 {
+    if (request.method != "GET") {
+        // The next control host returns the result of an attempt that took effect although its reply was lost.
+        request.headers.try_emplace("Banyanledge-Change-Id", std::to_string(randomId()));
+    }
     HttpReply reply;
     for (const Process &control : processes("control")) {
         reply = callControl(client, control, request);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -112,8 +112,8 @@
     // Sends a request, whose `url` is only a path, to the operator API of one control host.
     HttpReply callControl(HttpClient &client, const Process &control, HttpRequest request) const;
 
-    // Tries the control hosts in turn until one replies with a status other than 503.
-    HttpReply callAnyControl(HttpClient &client, const HttpRequest &request) const;
+    // Tries the control hosts in turn, with one change id, until one replies with a status other than 503.
+    HttpReply callAnyControl(HttpClient &client, HttpRequest request) const;
 
     // Name of the control host that reports to be the leader, empty if none does.
     std::string leader() const;
