--- a/apps/banyanledged.cpp
+++ b/apps/banyanledged.cpp
@@ -344,8 +344,7 @@
     return std::max(0, sigtimedwait(&signals, nullptr, &limit));
 }
 
-// Waits for the signal that ends the host and applies changed settings meanwhile. Returns when the grace of the stop
-// began.
+// Waits for the signal that ends the host and applies changed settings meanwhile. Returns the begin of the grace.
 Time serveUntilStopSignal(Host &host, SettingsWatch &watch)
 {
     sigset_t signals;
--- a/tests/stop_times.py
+++ b/tests/stop_times.py
@@ -7,7 +7,7 @@
 starts with another grace than the one that its settings file states when it is stopped; half of them get SIGHUP after
 the change. Checks for each gateway:
   - a request whose server ends its work before the last sixth of the grace is answered by that server, also a download
-  - a request that is sent after SIGTERM gets a whole answer
+  - a request that is sent after SIGTERM and reaches its server gets a whole answer
   - the process ends by itself within the grace, also if SIGHUP and a second SIGTERM come meanwhile, or if it stands still
     for half of the grace
 and for each control host, the last of which has no quorum, that it ends by itself within the grace and that an order
