Call a leader that another control host names without a pause

What callers saw: an order that reached a control host without knowledge of the leader took 50 ms longer than its round trips.

Cause: LeaderClient paused after each attempt without a result, also when the reply named the leader. The pause is for elections.

Change: no pause before the first host that a reply names; hosts that name each other are still asked with pauses.

--- a/control/leader.cpp
+++ b/control/leader.cpp
@@ -143,7 +143,8 @@
 {
     std::string leaderHint;
     while (Clock::now() < std::min(deadline, callsEnd.load())) {
-        const std::string address = leaderHint.empty() ? nextAddress() : leaderHint;
+        const bool wasNamed = !leaderHint.empty();
+        const std::string address = wasNamed ? leaderHint : nextAddress();
         leaderHint.clear();
         if (!address.empty()) {
             reply.Clear();
@@ -154,6 +155,9 @@
                 leaderHint = reply.leader_address() == address ? "" : reply.leader_address();
             }
         }
+        if (!leaderHint.empty() && !wasNamed) {
+            continue; // the pause is for elections, and for hosts that name each other
+        }
         std::this_thread::sleep_for(std::min<Duration>(retryInterval, std::max(Duration{}, deadline - Clock::now())));
     }
     return false;
